--- /dev/null
+++ b/packages/gateway/src/coordinator.ts
@@ -0,0 +1,557 @@
+/** The router that reads the feeds for all and owns the key ranges. @module */
+import type { EventLog } from "@jaytiller/kernel";
+import {
+  type Assignment,
+  encodeRecord,
+  type LeaseCall,
+  LeaseCallEnd,
+  LeaseCallKind,
+  type LeaseTimes,
+  type OwnerChange,
+  type OwnershipRecord,
+  type OwnerTable,
+  RangeKeeper,
+  readCoordinator,
+  type RouterRef,
+} from "@jaytiller/ranges";
+import { CapacityBook } from "./capacity_book.js";
+import type { FeedReader } from "./feed_reader.js";
+import type { Knowledge } from "./knowledge.js";
+import { MemberLink } from "./member_link.js";
+import { PauseDetector } from "./pause_detector.js";
+import { PeerFailure } from "./peer_link.js";
+import { type LeaseTransport, type PlatformStore, StoreEnd } from "./ports.js";
+import type { StatsBook } from "./stats_book.js";
+import {
+  BEAT_MS,
+  CONFIGURATION_WAIT_MS,
+  PREDECESSOR_LIMIT_MS,
+  RECORD_REFRESH_MS,
+  SERVERS_READ_MS,
+  STORE_RETRY_MS,
+  UNPROVED_LIMIT_MS,
+} from "./timing.js";
+
+/** What the coordinator works with. */
+export interface CoordinatorParts {
+  readonly self: RouterRef;
+  readonly knowledge: Knowledge;
+  readonly stats: StatsBook;
+  readonly reader: FeedReader;
+  readonly store: PlatformStore;
+  readonly leases: LeaseTransport;
+  readonly log: EventLog;
+  readonly times: LeaseTimes;
+  /** Called once this router is no longer the coordinator. */
+  readonly onEnd: (reason: string) => void;
+}
+
+/** The claim that made this router the coordinator. */
+export interface Claim {
+  /** Offset of the claim. */
+  readonly term: number;
+  /** The record before it, if there was one. */
+  readonly inherited?: OwnershipRecord;
+}
+
+const TICK_MS = 50;
+/** A call that was sent before a term ended arrives within this time, ms. */
+const CALL_FLIGHT_MS = 1_000;
+const BALANCE_MS = 500;
+const KEYS_IN_REPORT = 400;
+/** A router that does not answer is asked again after this time, ms. */
+const LOST_MEMBER_RETRY_MS = 1_000;
+
+interface Member {
+  readonly link: MemberLink;
+  nextMs: number;
+  isLost: boolean;
+}
+
+/** One term as the coordinator. */
+export class Coordinator {
+  readonly #parts: CoordinatorParts;
+  readonly #term: number;
+  readonly #keepers = new Map<string, RangeKeeper>();
+  readonly #members = new Map<string, Member>();
+  readonly #book = new CapacityBook();
+  readonly #pauses = new PauseDetector();
+  readonly #predecessors: RouterRef[];
+  #routers: readonly RouterRef[];
+  #position: number;
+  #provedAt: number;
+  #needsProof = false;
+  #isWriting = false;
+  #writtenAt: number;
+  #nextBalanceMs = 0;
+  #isDirty = true;
+  #hasEnded = false;
+  #timer: NodeJS.Timeout | undefined;
+  readonly #inherited: OwnershipRecord | undefined;
+
+  constructor(parts: CoordinatorParts, claim: Claim) {
+    const nowMs = performance.now();
+    this.#parts = parts;
+    this.#term = claim.term;
+    this.#position = claim.term + 1;
+    this.#provedAt = nowMs;
+    this.#writtenAt = nowMs;
+    this.#inherited = claim.inherited;
+    const { self } = parts;
+    const known = claim.inherited?.routers ?? [];
+    this.#routers = [...known.filter((r) => r.node !== self.node), self];
+    this.#predecessors = listPredecessors(claim.inherited, self);
+    this.#restoreKeepers(claim.inherited, nowMs);
+    for (const router of this.#routers) this.#addMember(router);
+  }
+
+  get term(): number {
+    return this.#term;
+  }
+
+  get routers(): readonly RouterRef[] {
+    return this.#routers;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    void this.#followServers();
+    void this.#followConfiguration();
+    void this.#followOwnership();
+    this.#tick();
+  }
+
+  /** Adds a router, or a new start of a known one. */
+  join(router: RouterRef): void {
+    const others = this.#routers.filter((r) => r.node !== router.node);
+    this.#routers = [...others, router];
+    this.#members.get(router.node)?.link.close();
+    this.#addMember(router);
+    this.#clear((p) =>
+      p.node === router.node && p.incarnation !== router.incarnation
+    );
+    this.#sendBeat(this.#members.get(router.node)!);
+  }
+
+  /** Ends the term: another router has claimed, or this one stops. */
+  end(reason: string): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    clearInterval(this.#timer);
+    for (const { link } of this.#members.values()) link.close();
+    this.#parts.log.record("coordinatorEnd", { term: this.#term, reason });
+    this.#parts.onEnd(reason);
+  }
+
+  /** Planned stop: tells the successor that no more calls are sent. */
+  async resign(): Promise<void> {
+    if (this.#hasEnded) return;
+    clearInterval(this.#timer);
+    this.#hasEnded = true;
+    const record = encodeRecord({ ...this.#makeRecord(), resigned: true });
+    const result = await this.#parts.store.appendOwnership(
+      record,
+      this.#position,
+    );
+    this.#parts.log.record("resigned", {
+      term: this.#term,
+      end: result.end,
+      problem: result.problem,
+    });
+    for (const { link } of this.#members.values()) link.close();
+  }
+
+  #restoreKeepers(record: OwnershipRecord | undefined, nowMs: number): void {
+    const inheritedUntilMs = nowMs + PREDECESSOR_LIMIT_MS +
+      this.#leaseEnd();
+    const options = { times: this.#parts.times, inheritedUntilMs };
+    for (const [service, list] of Object.entries(record?.services ?? {})) {
+      const keeper = RangeKeeper.restore(service, list, options);
+      this.#keepers.set(service, keeper);
+    }
+    if (this.#predecessors.length === 0) this.#boundInherited(nowMs);
+  }
+
+  /** Time within which a lease that was given now has ended, ms. */
+  #leaseEnd(): number {
+    const { holdMs, clockSkew } = this.#parts.times;
+    return holdMs * (1 + clockSkew) + CALL_FLIGHT_MS;
+  }
+
+  #boundInherited(nowMs: number): void {
+    for (const keeper of this.#keepers.values()) {
+      keeper.boundInherited(nowMs + this.#leaseEnd());
+    }
+  }
+
+  /** Takes note that earlier coordinators have certainly ended. */
+  #clear(hasEnded: (predecessor: RouterRef) => boolean): void {
+    const before = this.#predecessors.length;
+    const rest = this.#predecessors.filter((p) => !hasEnded(p));
+    this.#predecessors.splice(0, before, ...rest);
+    if (before === 0 || rest.length > 0) return;
+    this.#boundInherited(performance.now());
+    this.#parts.log.record("predecessorsEnded", { term: this.#term });
+  }
+
+  #addMember(router: RouterRef): void {
+    if (router.node === this.#parts.self.node) return;
+    const link = new MemberLink(router);
+    this.#members.set(router.node, { link, nextMs: 0, isLost: false });
+  }
+
+  #tick(): void {
+    if (this.#hasEnded) return;
+    const nowMs = performance.now();
+    if (this.#pauses.check(nowMs, Date.now())) {
+      this.#needsProof = true;
+      this.#parts.log.record("paused", { term: this.#term });
+      void this.#prove();
+    }
+    this.#addServices();
+    this.#plan(nowMs);
+    if (this.#mayGrant(nowMs)) this.#sendCalls(nowMs);
+    this.#publish();
+    for (const member of this.#members.values()) {
+      if (nowMs >= member.nextMs) this.#sendBeat(member);
+    }
+    this.#isDirty = false;
+  }
+
+  /** A coordinator that may have been superseded sends no grants. */
+  #mayGrant(nowMs: number): boolean {
+    return !this.#needsProof && nowMs - this.#provedAt < UNPROVED_LIMIT_MS;
+  }
+
+  #addServices(): void {
+    const { knowledge, times } = this.#parts;
+    for (const service of knowledge.routes?.listServices() ?? []) {
+      if (!service.sharded || this.#keepers.has(service.name)) continue;
+      const keeper = RangeKeeper.create(service.name, times);
+      this.#keepers.set(service.name, keeper);
+    }
+  }
+
+  #plan(nowMs: number): void {
+    if (this.#isWriting || !this.#parts.knowledge.hasServers) return;
+    const balance = nowMs >= this.#nextBalanceMs;
+    if (balance) {
+      this.#nextBalanceMs = nowMs + BALANCE_MS;
+      this.#takeOwnReport();
+      this.#book.advance(nowMs);
+    }
+    const changes = new Map<string, readonly OwnerChange[]>();
+    for (const [service, keeper] of this.#keepers) {
+      const planned = this.#planService(service, keeper, { nowMs, balance });
+      if (planned.length > 0) changes.set(service, planned);
+    }
+    const isOld = nowMs - this.#writtenAt > RECORD_REFRESH_MS;
+    if (changes.size > 0 || isOld) void this.#write(changes);
+  }
+
+  #planService(
+    service: string,
+    keeper: RangeKeeper,
+    options: { nowMs: number; balance: boolean },
+  ): readonly OwnerChange[] {
+    const view = this.#parts.knowledge.servers;
+    return keeper.plan({
+      ...options,
+      view,
+      load: this.#book.getLoad(service),
+      getCapacity: (id) => this.#book.getCapacity(view, id),
+      isSettling: this.#parts.reader.isSettling(options.nowMs),
+    });
+  }
+
+  /** Writes changes before any call of theirs is sent. */
+  async #write(changes: ReadonlyMap<string, readonly OwnerChange[]>) {
+    this.#isWriting = true;
+    try {
+      const at = this.#position;
+      const view = this.#parts.knowledge.servers;
+      const fence = at + 1;
+      const nowMs = performance.now();
+      const text = encodeRecord(
+        this.#makeRecord((service, keeper) =>
+          keeper.preview(changes.get(service) ?? [], { nowMs, fence, view })
+        ),
+      );
+      const result = await this.#append(text, at);
+      if (!result || this.#hasEnded) return;
+      for (const [service, list] of changes) {
+        this.#keepers.get(service)?.commit(list, {
+          nowMs: performance.now(),
+          fence,
+          view,
+        });
+        this.#logChanges(service, list, fence);
+      }
+      this.#tick();
+    } finally {
+      this.#isWriting = false;
+    }
+  }
+
+  #makeRecord(
+    list: (service: string, keeper: RangeKeeper) => readonly Assignment[] = (
+      _,
+      keeper,
+    ) => keeper.assignments,
+  ): OwnershipRecord {
+    const services = [...this.#keepers].map(([service, keeper]) =>
+      [service, list(service, keeper)] as const
+    );
+    return {
+      coordinator: this.#parts.self,
+      resigned: false,
+      routers: this.#routers,
+      predecessors: [...this.#predecessors],
+      services: Object.fromEntries(services),
+    };
+  }
+
+  /** Appends a record; returns whether it is in the store. */
+  async #append(text: string, at: number): Promise<boolean> {
+    while (!this.#hasEnded) {
+      const sentAt = performance.now();
+      const result = await this.#parts.store.appendOwnership(text, at);
+      const isDone = result.end === StoreEnd.Done ||
+        result.end === StoreEnd.WrongEnd && await this.#isWritten(text, at);
+      if (isDone) {
+        this.#position = at + 1;
+        this.#proveAt(sentAt);
+        this.#writtenAt = performance.now();
+        return true;
+      }
+      this.#parts.log.record("appendFailed", {
+        end: result.end,
+        problem: result.problem,
+      });
+      await pause(STORE_RETRY_MS);
+      // Only a call without an answer has to be sent again as it was.
+      if (result.end !== StoreEnd.Unknown) return false;
+    }
+    return false;
+  }
+
+  /** Whether the record at a position is this one. */
+  async #isWritten(text: string, at: number): Promise<boolean> {
+    const read = await this.#parts.store.readOwnership({
+      position: at,
+      waitMs: 0,
+    });
+    if (read.end !== StoreEnd.Done) return false;
+    const found = read.value?.items.find((e) => e.offset >= at);
+    if (found?.text === text) return true;
+    if (found && this.#isOwn(found.text)) {
+      // An earlier record of ours, from a call that had no answer. It names
+      // changes that were never granted; the next record replaces it.
+      this.#position = found.offset + 1;
+    } else if (found) {
+      this.end("another router has claimed");
+    }
+    return false;
+  }
+
+  #isOwn(text: string): boolean {
+    return readCoordinator(text)?.incarnation === this.#parts.self.incarnation;
+  }
+
+  #proveAt(atMs: number): void {
+    this.#provedAt = Math.max(this.#provedAt, atMs);
+    this.#needsProof = false;
+  }
+
+  /** Finds out whether this is still the newest term. */
+  async #prove(): Promise<void> {
+    while (this.#needsProof && !this.#hasEnded) {
+      await this.#readOwnership(0);
+      if (this.#needsProof) await pause(STORE_RETRY_MS);
+    }
+  }
+
+  async #followOwnership(): Promise<void> {
+    while (!this.#hasEnded) {
+      const isRead = await this.#readOwnership(CONFIGURATION_WAIT_MS);
+      await pause(isRead ? TICK_MS : STORE_RETRY_MS);
+    }
+  }
+
+  /** Ends the term if another router has written a record. */
+  async #readOwnership(waitMs: number): Promise<boolean> {
+    const sentAt = performance.now();
+    const position = this.#position;
+    const read = await this.#parts.store.readOwnership({ position, waitMs });
+    if (read.end !== StoreEnd.Done || !read.value) return false;
+    const other = read.value.items.find((e) =>
+      e.offset >= position && !this.#isOwn(e.text)
+    );
+    if (other) this.end("another router has claimed");
+    else this.#proveAt(sentAt);
+    return true;
+  }
+
+  #sendCalls(nowMs: number): void {
+    const view = this.#parts.knowledge.servers;
+    for (const [service, keeper] of this.#keepers) {
+      for (const call of keeper.listCalls(nowMs, view)) {
+        void this.#sendCall(service, keeper, call);
+      }
+    }
+  }
+
+  async #sendCall(service: string, keeper: RangeKeeper, call: LeaseCall) {
+    const result = await this.#parts.leases.call(call);
+    keeper.observe(call, result, performance.now());
+    const isNews = call.kind === LeaseCallKind.Release ||
+      result.end !== LeaseCallEnd.Done;
+    if (isNews) {
+      this.#parts.log.record("lease", {
+        kind: call.kind,
+        service,
+        server: call.server.id,
+        from: call.from,
+        to: call.to,
+        fence: call.fence,
+        end: result.end,
+        problem: result.problem,
+      });
+    }
+    if (result.end === LeaseCallEnd.Fenced && !this.#needsProof) {
+      this.#needsProof = true;
+      void this.#prove();
+    }
+    if (call.kind === LeaseCallKind.Release || keeper.isChanged) this.#tick();
+  }
+
+  /** Hands changed tables to the router's own knowledge and to the others. */
+  #publish(): void {
+    const { knowledge } = this.#parts;
+    let owners: Map<string, OwnerTable> | undefined;
+    for (const [service, keeper] of this.#keepers) {
+      if (!keeper.takeChanged()) continue;
+      owners ??= new Map(knowledge.owners);
+      owners.set(service, keeper.makeTable());
+    }
+    if (!owners) return;
+    knowledge.putOwners(owners, `${this.#term}/${this.#position}`);
+    this.notifyAll();
+  }
+
+  /** Sends news to all routers at once. */
+  notifyAll(): void {
+    for (const member of this.#members.values()) {
+      if (!member.isLost) member.nextMs = 0;
+    }
+    if (!this.#isDirty) setImmediate(() => this.#sendDue());
+    this.#isDirty = true;
+  }
+
+  #sendDue(): void {
+    this.#isDirty = false;
+    const nowMs = performance.now();
+    for (const member of this.#members.values()) {
+      if (nowMs >= member.nextMs) this.#sendBeat(member);
+    }
+  }
+
+  #sendBeat(member: Member): void {
+    if (member.link.isBusy || this.#hasEnded) return;
+    member.nextMs = performance.now() + BEAT_MS;
+    member.link.send({
+      term: this.#term,
+      coordinator: this.#parts.self,
+      routers: this.#routers,
+      knowledge: this.#parts.knowledge,
+      nowMs: performance.now(),
+    }).then(
+      (answer) => {
+        this.#setLost(member, false);
+        if (answer.term > this.#term) {
+          return this.end("a router knows a higher term");
+        }
+        const { router } = answer;
+        this.#clear((p) =>
+          p.node === router.node && answer.term === this.#term
+        );
+        if (router.incarnation !== member.link.router.incarnation) {
+          this.join(router);
+        }
+        this.#book.addReport(answer.keys, answer.times);
+      },
+      (error: unknown) => {
+        if (!(error instanceof PeerFailure)) throw error;
+        this.#setLost(member, true, error);
+      },
+    );
+  }
+
+  #setLost(member: Member, isLost: boolean, failure?: PeerFailure): void {
+    if (isLost) member.nextMs = performance.now() + LOST_MEMBER_RETRY_MS / 2;
+    if (member.isLost === isLost) return;
+    member.isLost = isLost;
+    this.#parts.log.record(isLost ? "routerLost" : "routerRegained", {
+      router: member.link.router.node,
+      problem: failure?.message,
+    });
+  }
+
+  #takeOwnReport(): void {
+    const { stats } = this.#parts;
+    this.#book.addReport(
+      stats.takeKeyCounts(KEYS_IN_REPORT),
+      stats.listServiceTimes(),
+    );
+  }
+
+  async #followServers(): Promise<void> {
+    while (!this.#hasEnded) {
+      const before = this.#parts.knowledge.servers;
+      const isRead = await this.#parts.reader.readServers();
+      const after = this.#parts.knowledge.servers;
+      if (after.listChangesSince(before).length > 0) this.notifyAll();
+      await pause(isRead ? SERVERS_READ_MS : STORE_RETRY_MS);
+    }
+  }
+
+  async #followConfiguration(): Promise<void> {
+    while (!this.#hasEnded) {
+      const version = this.#parts.knowledge.routes?.version;
+      const wait = version === undefined ? 0 : CONFIGURATION_WAIT_MS;
+      const isRead = await this.#parts.reader.readConfiguration(wait);
+      const now = this.#parts.knowledge.routes?.version;
+      if (now !== version) this.notifyAll();
+      else if (!isRead || now === undefined) await pause(STORE_RETRY_MS);
+    }
+  }
+
+  #logChanges(service: string, changes: readonly OwnerChange[], fence: number) {
+    for (const { from, to, owner } of changes) {
+      this.#parts.log.record("assigned", {
+        service,
+        from,
+        to,
+        server: owner.id,
+        fence,
+        serversPosition: this.#parts.knowledge.servers.position,
+      });
+    }
+  }
+}
+
+/** Earlier coordinators that may still send grants. */
+function listPredecessors(
+  record: OwnershipRecord | undefined,
+  self: RouterRef,
+): RouterRef[] {
+  if (!record) return [];
+  const list = record.resigned
+    ? record.predecessors
+    : [...record.predecessors, record.coordinator];
+  return list.filter((p) => p.node !== self.node);
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/gateway/src/front.ts
@@ -0,0 +1,122 @@
+/** Takes the requests of clients. @module */
+import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
+import type { EventLog } from "@jaytiller/kernel";
+import type { Dispatcher } from "./dispatcher.js";
+import { type Knowledge, KnowledgePart } from "./knowledge.js";
+import type { ListenAddress } from "./settings.js";
+
+/** Largest header of a request, bytes; configured limits are below it. */
+const MAX_HEADER_BYTES = 65_536;
+/** Used until a configuration is known, ms. */
+const FIRST_IDLE_MS = 60_000;
+/** A connection stays open for this share of the configured idle time. */
+const IDLE_FACTOR = 1.1;
+const BACKLOG = 1_024;
+const STOP_POLL_MS = 50;
+
+/** The port for clients. */
+export class Front {
+  readonly #server: Server;
+  readonly #dispatcher: Dispatcher;
+  readonly #listen: ListenAddress;
+  readonly #log: EventLog;
+  readonly #sockets = new Set<Socket>();
+  #lastRequestMs = 0;
+
+  constructor(options: {
+    dispatcher: Dispatcher;
+    knowledge: Knowledge;
+    listen: ListenAddress;
+    log: EventLog;
+  }) {
+    const { dispatcher, knowledge, log } = options;
+    this.#dispatcher = dispatcher;
+    this.#listen = options.listen;
+    this.#log = log;
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: FIRST_IDLE_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    }, (request, response) => {
+      this.#lastRequestMs = performance.now();
+      dispatcher.serve(request, response).catch((error: unknown) => {
+        log.record("serveFailed", { problem: formatError(error) });
+        response.destroy();
+      });
+    });
+    this.#server.on("connection", (socket) => {
+      this.#sockets.add(socket);
+      socket.on("close", () => this.#sockets.delete(socket));
+    });
+    knowledge.onChange((part) => {
+      if (part !== KnowledgePart.Routes) return;
+      const { limits, routes } = knowledge.routes!.configuration;
+      this.#server.keepAliveTimeout = limits.idleTimeoutMs * IDLE_FACTOR;
+      this.#server.headersTimeout = limits.headerTimeoutMs;
+      dispatcher.keepRoutes(routes);
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address ? address.port : 0;
+  }
+
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  start(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      const { host, port } = this.#listen;
+      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
+        this.#server.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Serves on while clients are led elsewhere, closes connections with their
+   * next answer, and ends when all requests are answered. `quietMs`: nobody
+   * uses an open connection that has been idle for this long.
+   */
+  async drain(options: { leadMs: number; quietMs: number; maxMs: number }) {
+    const startedAt = performance.now();
+    this.#dispatcher.closeConnections();
+    const since = () => performance.now() - startedAt;
+    await pause(options.leadMs);
+    while (since() < options.maxMs) {
+      const idleMs = performance.now() - this.#lastRequestMs;
+      if (this.#dispatcher.open === 0 && idleMs > options.quietMs) break;
+      await pause(STOP_POLL_MS);
+    }
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    while (this.#dispatcher.open > 0 && since() < options.maxMs) {
+      await pause(STOP_POLL_MS);
+    }
+    this.#log.record("drained", {
+      open: this.#dispatcher.open,
+      connections: this.#sockets.size,
+      ms: Math.round(since()),
+    });
+    for (const socket of this.#sockets) socket.destroySoon();
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function formatError(error: unknown): string {
+  return error instanceof Error ? error.stack ?? error.message : String(error);
+}
--- /dev/null
+++ b/packages/gateway/src/member.ts
@@ -0,0 +1,442 @@
+/** Follows the coordinator, and becomes it when there is none. @module */
+import type { EventLog } from "@jaytiller/kernel";
+import {
+  decodeRecord,
+  encodeRecord,
+  type OwnershipRecord,
+  OwnerTable,
+  type RouterRef,
+} from "@jaytiller/ranges";
+import {
+  type Beat,
+  type BeatAnswer,
+  type JoinAnswer,
+  PeerMethod,
+  type SilenceAnswer,
+} from "./beat.js";
+import type { Coordinator } from "./coordinator.js";
+import type { Claim } from "./coordinator.js";
+import type { FeedReader } from "./feed_reader.js";
+import type { Knowledge } from "./knowledge.js";
+import { PeerFailure, PeerFailureKind, PeerLink } from "./peer_link.js";
+import { type OwnershipEntry, type PlatformStore, StoreEnd } from "./ports.js";
+import type { StatsBook } from "./stats_book.js";
+import {
+  BEAT_MS,
+  RECORD_REFRESH_MS,
+  SILENT_MS,
+  STALE_MS,
+  STORE_RETRY_MS,
+} from "./timing.js";
+
+/** What a member works with. */
+export interface MemberParts {
+  readonly self: RouterRef;
+  readonly knowledge: Knowledge;
+  readonly stats: StatsBook;
+  readonly reader: FeedReader;
+  readonly store: PlatformStore;
+  readonly log: EventLog;
+  /** Starts a term as the coordinator. */
+  readonly lead: (claim: Claim) => Coordinator;
+}
+
+const WATCH_MS = 100;
+const KEYS_IN_REPORT = 200;
+/** Routers that are asked whether they hear the coordinator. */
+const WITNESSES = 3;
+/** Later candidates give earlier ones this much time, ms. */
+const RANK_MS = 120;
+const MAX_RANK = 8;
+/** A coordinator that has not read the store for so long has lost it, ms. */
+const STORE_LOST_MS = 2_000;
+/** A store that answers a router within this time serves it, ms. */
+const QUICK_STORE_MS = 400;
+
+/** What a router knows of the coordinator. */
+enum Presence {
+  Heard = "heard",
+  /** It has just taken this router in. */
+  Joined = "joined",
+  /** It does not lead any more. */
+  Ended = "ended",
+  Silent = "silent",
+}
+
+/** This router among the others. */
+export class Member {
+  readonly #parts: MemberParts;
+  #term = -1;
+  #coordinator: RouterRef | undefined;
+  #routers: readonly RouterRef[] = [];
+  #routerCount = 1;
+  #heardAt = -Infinity;
+  #serversNumber = 0;
+  #ownersNumber = 0;
+  #leading: Coordinator | undefined;
+  #isLooking = false;
+  #hasStopped = false;
+  #recordSeenAt = -Infinity;
+  #recordOffset = -1;
+  /** Age of the servers that the coordinator knows, by its last beat, ms. */
+  #coordinatorAgeMs = 0;
+  #nextLookMs = 0;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(parts: MemberParts) {
+    this.#parts = parts;
+  }
+
+  /** Routers that share what all of them may spend together. */
+  get routerCount(): number {
+    return Math.max(this.#routerCount, this.#leading?.routers.length ?? 1);
+  }
+
+  get term(): number {
+    return this.#term;
+  }
+
+  get isLeading(): boolean {
+    return this.#leading !== undefined;
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#watch(), WATCH_MS);
+    this.#watch();
+  }
+
+  /** Stops; a coordinator hands over first. */
+  async stop(): Promise<void> {
+    this.#hasStopped = true;
+    clearInterval(this.#timer);
+    const leading = this.#leading;
+    this.#leading = undefined;
+    await leading?.resign();
+  }
+
+  /** Methods that other routers call. */
+  makeMethods(): Record<string, (params: unknown) => unknown> {
+    return {
+      [PeerMethod.Beat]: (params) => this.#takeBeat(params as Beat),
+      [PeerMethod.Join]: (params) => this.#takeJoin(params as RouterRef),
+      [PeerMethod.Silence]: (): SilenceAnswer => ({
+        silentMs: this.#computeSilence(),
+        term: this.#term,
+      }),
+    };
+  }
+
+  #computeSilence(): number {
+    const isHeard = this.#leading !== undefined;
+    return isHeard ? 0 : Math.min(1e9, performance.now() - this.#heardAt);
+  }
+
+  #takeBeat(beat: Beat): BeatAnswer {
+    const { self, knowledge, stats } = this.#parts;
+    if (beat.term >= this.#term && !this.#hasStopped) this.#follow(beat);
+    return {
+      term: this.#term,
+      router: self,
+      version: knowledge.routes?.version ?? 0,
+      serversNumber: this.#serversNumber,
+      ownersNumber: this.#ownersNumber,
+      keys: stats.takeKeyCounts(KEYS_IN_REPORT),
+      times: stats.listServiceTimes(),
+    };
+  }
+
+  #follow(beat: Beat): void {
+    const { knowledge, log } = this.#parts;
+    const nowMs = performance.now();
+    if (beat.term > this.#term) {
+      this.#leading?.end("another router has a higher term");
+      this.#term = beat.term;
+      this.#serversNumber = 0;
+      this.#ownersNumber = 0;
+      log.record("coordinator", {
+        term: beat.term,
+        router: beat.coordinator.node,
+      });
+    }
+    this.#coordinator = beat.coordinator;
+    this.#heardAt = nowMs;
+    this.#coordinatorAgeMs = beat.serversAgeMs;
+    this.#routerCount = beat.routers;
+    if (beat.routerList) this.#routers = beat.routerList;
+    if (beat.configuration && knowledge.putConfiguration(beat.configuration)) {
+      const { version } = beat.configuration;
+      log.record("configuration", { version, source: "coordinator" });
+    }
+    knowledge.confirmRoutes(nowMs - beat.configurationAgeMs);
+    this.#takeServers(beat, nowMs);
+    this.#takeOwners(beat);
+  }
+
+  #takeServers({ servers, ...beat }: Beat, nowMs: number): void {
+    const { knowledge } = this.#parts;
+    const atMs = nowMs - beat.serversAgeMs;
+    if (!servers) return knowledge.confirmServers(atMs);
+    // What this router has read itself may be newer.
+    if (beat.serversPosition < knowledge.servers.position) return;
+    if (servers.base !== 0 && servers.base !== this.#serversNumber) return;
+    const listed = new Set(servers.items.map((c) => c.id));
+    const missing = servers.base === 0
+      ? knowledge.servers.list().filter((e) => !listed.has(e.id))
+      : [];
+    knowledge.applyServers(
+      [...servers.items, ...missing.map(({ id }) => ({ id }))],
+      { position: beat.serversPosition, atMs },
+    );
+    this.#serversNumber = servers.number;
+  }
+
+  #takeOwners({ owners, term }: Beat): void {
+    if (!owners) return;
+    if (owners.base !== 0 && owners.base !== this.#ownersNumber) return;
+    const { knowledge } = this.#parts;
+    const tables = new Map(knowledge.owners);
+    for (const { service, ranges } of owners.items) {
+      const known = tables.get(service);
+      const isWhole = owners.base === 0 || !known;
+      tables.set(
+        service,
+        isWhole ? OwnerTable.create(ranges) : known.apply(ranges),
+      );
+    }
+    knowledge.putOwners(tables, `${term}/${owners.number}`);
+    this.#ownersNumber = owners.number;
+  }
+
+  #takeJoin(router: RouterRef): JoinAnswer {
+    if (!this.#leading) return { accepted: false };
+    this.#leading.join(router);
+    return { accepted: true };
+  }
+
+  #watch(): void {
+    if (this.#leading || this.#isLooking || this.#hasStopped) return;
+    const nowMs = performance.now();
+    const isSilent = nowMs - this.#heardAt > SILENT_MS;
+    const isStale = nowMs - this.#parts.knowledge.serversAt > STALE_MS;
+    if (nowMs < this.#nextLookMs || !isSilent && !isStale) return;
+    this.#isLooking = true;
+    this.#look(isSilent).catch((error: unknown) => {
+      this.#parts.log.record("lookFailed", { problem: String(error) });
+    }).finally(() => {
+      this.#isLooking = false;
+    });
+  }
+
+  /** Reads the store itself; joins or replaces the coordinator if need be. */
+  async #look(isSilent: boolean): Promise<void> {
+    const startedAt = performance.now();
+    this.#nextLookMs = startedAt + BEAT_MS + 200 * Math.random();
+    const newest = await this.#readRecord();
+    const tookMs = performance.now() - startedAt;
+    if (!newest.isRead) {
+      const pauseMs = STORE_RETRY_MS * (1 + Math.random());
+      this.#nextLookMs = performance.now() + pauseMs;
+      return;
+    }
+    const presence = isSilent
+      ? await this.#joinNamed(newest.record)
+      : Presence.Heard;
+    if (presence === Presence.Joined) return;
+    await this.#readFeeds();
+    const mayLead = await this.#mayLead(presence, { newest, tookMs });
+    if (mayLead && !this.#hasStopped) await this.#claim(newest);
+  }
+
+  /**
+   * A coordinator that we hear is replaced if it has lost the store and we
+   * have not; one that we do not hear, if it has ended or nobody hears it.
+   */
+  async #mayLead(
+    presence: Presence,
+    { newest, tookMs }: { newest: NewestRecord; tookMs: number },
+  ): Promise<boolean> {
+    if (presence === Presence.Ended) return true;
+    if (presence === Presence.Silent) return this.#isMissedByAll(newest.record);
+    return this.#coordinatorAgeMs > STORE_LOST_MS && tookMs < QUICK_STORE_MS;
+  }
+
+  #isHeard(): boolean {
+    return performance.now() - this.#heardAt < SILENT_MS;
+  }
+
+  async #readFeeds(): Promise<void> {
+    await this.#parts.reader.readServers();
+    await this.#parts.reader.readConfiguration(0);
+  }
+
+  async #readRecord(): Promise<NewestRecord> {
+    const read = await this.#parts.store.readOwnership({ waitMs: 0 });
+    if (read.end !== StoreEnd.Done || !read.value) {
+      return { isRead: false, position: 0 };
+    }
+    const { position, items } = read.value;
+    const entry = items.at(-1);
+    if (!entry) return { isRead: true, position };
+    this.#noteRecord(entry);
+    const record = decodeRecord(entry.text);
+    this.#useOwners(entry, record);
+    return { isRead: true, position, record };
+  }
+
+  #noteRecord(entry: OwnershipEntry): void {
+    if (entry.offset === this.#recordOffset) return;
+    this.#recordOffset = entry.offset;
+    this.#recordSeenAt = performance.now();
+  }
+
+  /** Without a coordinator, the record tells who owns what. */
+  #useOwners(entry: OwnershipEntry, record: OwnershipRecord): void {
+    if (this.#isHeard()) return;
+    const tables = new Map(
+      Object.entries(record.services).map(([service, list]) => [
+        service,
+        OwnerTable.create(list.map((a) => ({
+          from: a.from,
+          to: a.to,
+          ...(a.granted && a.owner ? { server: a.owner.id } : {}),
+        }))),
+      ]),
+    );
+    this.#parts.knowledge.putOwners(tables, `record/${entry.offset}`);
+    this.#ownersNumber = 0;
+    this.#routers = record.routers;
+    this.#routerCount = Math.max(1, record.routers.length);
+  }
+
+  /** Joins the coordinator that a record names. */
+  async #joinNamed(record: OwnershipRecord | undefined): Promise<Presence> {
+    if (!record || record.resigned) return Presence.Ended;
+    const { coordinator } = record;
+    const { self } = this.#parts;
+    if (coordinator.node === self.node) return Presence.Ended;
+    const link = new PeerLink(coordinator.address);
+    try {
+      const answer = await link.call<JoinAnswer>(PeerMethod.Join, self);
+      // One that does not lead left the record behind in its last term.
+      return answer.accepted ? Presence.Joined : Presence.Ended;
+    } catch (error) {
+      if (!(error instanceof PeerFailure)) throw error;
+      this.#parts.log.record("coordinatorSilent", {
+        router: coordinator.node,
+        problem: error.message,
+      });
+      const isGone = error.kind === PeerFailureKind.Refused;
+      return isGone ? Presence.Ended : Presence.Silent;
+    } finally {
+      link.close();
+    }
+  }
+
+  /** Whether no other router hears the coordinator either. */
+  async #isMissedByAll(record: OwnershipRecord | undefined): Promise<boolean> {
+    const { self } = this.#parts;
+    const others = (record?.routers ?? this.#routers).filter((r) =>
+      r.node !== self.node && r.node !== record?.coordinator.node
+    );
+    const asked = shuffle(others).slice(0, WITNESSES);
+    const silences = await Promise.all(asked.map(askSilence));
+    const heard = silences.filter((s) => s !== undefined);
+    if (heard.length > 0) return heard.every((ms) => ms > SILENT_MS * 0.8);
+    // Nobody answers: a coordinator that lives writes its record anew.
+    const unchangedMs = performance.now() - this.#recordSeenAt;
+    return unchangedMs > RECORD_REFRESH_MS * 1.5;
+  }
+
+  async #claim(newest: NewestRecord): Promise<void> {
+    const { self, store, log, lead } = this.#parts;
+    const rank = this.#computeRank(newest.record);
+    if (rank > 0) await pause(rank * RANK_MS * (0.7 + 0.6 * Math.random()));
+    if (this.#isHeard() && this.#coordinatorAgeMs < STORE_LOST_MS) return;
+    const { record } = newest;
+    const others = (record?.routers ?? []).filter((r) => r.node !== self.node);
+    const text = encodeRecord({
+      coordinator: self,
+      resigned: false,
+      routers: [...others, self],
+      predecessors: record
+        ? [
+          ...record.predecessors,
+          ...(record.resigned ? [] : [record.coordinator]),
+        ].filter((p) => p.node !== self.node)
+        : [],
+      services: record?.services ?? {},
+    });
+    const sentAt = performance.now();
+    const result = await store.appendOwnership(text, newest.position);
+    const isDone = result.end === StoreEnd.Done ||
+      result.end === StoreEnd.Unknown && await this.#isWritten(text, newest);
+    log.record("claim", {
+      position: newest.position,
+      end: result.end,
+      isDone,
+      problem: result.problem,
+      ms: Math.round(performance.now() - sentAt),
+    });
+    if (!isDone || this.#hasStopped) return;
+    this.#term = newest.position;
+    this.#coordinator = self;
+    this.#heardAt = -Infinity;
+    this.#leading = lead({
+      term: newest.position,
+      ...(record ? { inherited: record } : {}),
+    });
+    this.#leading.start();
+  }
+
+  /** Called by the coordinator of this process when its term has ended. */
+  endTerm(): void {
+    this.#leading = undefined;
+    this.#heardAt = performance.now();
+  }
+
+  async #isWritten(text: string, { position }: NewestRecord): Promise<boolean> {
+    await pause(STORE_RETRY_MS / 2);
+    const read = await this.#parts.store.readOwnership({ position, waitMs: 0 });
+    const found = read.value?.items.find((e) => e.offset === position);
+    return found?.text === text;
+  }
+
+  /** Routers claim one after the other, in an order that all of them know. */
+  #computeRank(record: OwnershipRecord | undefined): number {
+    const { self } = this.#parts;
+    const nodes = (record?.routers ?? []).map((r) => r.node)
+      .filter((n) => n !== record?.coordinator.node).sort();
+    const rank = nodes.indexOf(self.node);
+    return rank < 0 ? Math.floor(Math.random() * 3) : Math.min(rank, MAX_RANK);
+  }
+}
+
+interface NewestRecord {
+  readonly isRead: boolean;
+  /** Position after the newest record. */
+  readonly position: number;
+  readonly record?: OwnershipRecord;
+}
+
+async function askSilence(router: RouterRef): Promise<number | undefined> {
+  const link = new PeerLink(router.address);
+  try {
+    const answer = await link.call<SilenceAnswer>(PeerMethod.Silence, {});
+    return answer.silentMs;
+  } catch (error) {
+    // A router that does not answer is no witness.
+    if (error instanceof PeerFailure) return undefined;
+    throw error;
+  } finally {
+    link.close();
+  }
+}
+
+function shuffle<T>(items: readonly T[]): T[] {
+  return items.map((item) => ({ item, at: Math.random() }))
+    .sort((a, b) => a.at - b.at).map(({ item }) => item);
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Router that sends requests straight to the servers that may run them.
+ * @module
+ */
+export { Gateway, type GatewayOptions } from "./gateway.js";
+export * from "./ports.js";
+export type { GatewaySettings, ListenAddress } from "./settings.js";
--- /dev/null
+++ b/packages/gateway/src/status_server.ts
@@ -0,0 +1,52 @@
+/** Readiness and metrics over HTTP. @module */
+import { createServer, type Server } from "node:http";
+import type { ListenAddress } from "./settings.js";
+
+/** An answer: a status and a text. */
+export interface StatusAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Answers by path; other paths are answered 404. */
+export type StatusPages = Readonly<Record<string, () => StatusAnswer>>;
+
+/** A port with a few small pages. */
+export class StatusServer {
+  readonly #server: Server;
+  readonly #listen: ListenAddress;
+
+  constructor(listen: ListenAddress, pages: StatusPages) {
+    this.#listen = listen;
+    this.#server = createServer((request, response) => {
+      const path = (request.url ?? "/").split("?", 1)[0]!;
+      const page = Object.hasOwn(pages, path) ? pages[path] : undefined;
+      const answer = page?.() ?? { status: 404, text: "not found\n" };
+      response.writeHead(answer.status, {
+        "Content-Type": "text/plain; charset=utf-8",
+        "Content-Length": Buffer.byteLength(answer.text),
+      });
+      response.end(answer.text);
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address ? address.port : 0;
+  }
+
+  start(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#listen.port, this.#listen.host, () => {
+        this.#server.removeListener("error", reject);
+        resolve();
+      });
+    });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -2,6 +2,7 @@
  * Micro-kernel: named services, life cycle, settings and logs.
  * @module
  */
+export * from "./event_log.js";
 export * from "./kernel.js";
 export * from "./life_cycle.js";
 export * from "./log.js";
--- /dev/null
+++ b/packages/placement/src/server_choice.ts
@@ -0,0 +1,74 @@
+/**
+ * Chooses a server for work that any server of a service can do.
+ *
+ * Load pattern: servers differ in speed, some are slow or fail for a while,
+ * and bytes between zones are dear. Each router estimates what a server would
+ * take for one more request from the server's own reports and its own work
+ * under way, and leaves its zone only if that is worth the bytes.
+ * @module
+ */
+import type { ServerEntry } from "@jaytiller/routing";
+import type { ServerStats } from "./server_stats.js";
+
+/** A server and what is known of it. */
+export interface Candidate {
+  readonly entry: ServerEntry;
+  readonly stats: ServerStats;
+}
+
+/** The request and the place of the router. */
+export interface ChoiceContext {
+  readonly nowMs: number;
+  readonly zone: string;
+  /** Bytes that the request and its answer take, about. */
+  readonly bytes: number;
+  /** Servers that the request was sent to already. */
+  readonly tried: ReadonlySet<string>;
+  /** Time of a request at a server that has not been measured, ms. */
+  readonly assumedMs: number;
+  /** From 0 to below 1. */
+  readonly random: () => number;
+}
+
+/** Added to the estimate of a server in another zone, ms. */
+const OTHER_ZONE_MS = 40;
+/** The same for each KB that the request moves, ms. */
+const OTHER_ZONE_MS_PER_KB = 12;
+/** A failure within the last seconds weighs like this time, ms. */
+const FAILURE_MS = 150;
+/** Estimates differ by this share at random, against herds of routers. */
+const NOISE = 0.2;
+
+/** Returns the servers that can be sent to, the best first. */
+export function rankServers(
+  candidates: readonly Candidate[],
+  context: ChoiceContext,
+): readonly Candidate[] {
+  return candidates
+    .filter((c) => isOpen(c, context))
+    .map((c) => ({ c, cost: estimateCost(c, context) }))
+    .sort((a, b) => a.cost - b.cost)
+    .map(({ c }) => c);
+}
+
+function isOpen({ entry, stats }: Candidate, context: ChoiceContext): boolean {
+  return !context.tried.has(entry.id) && !stats.isSilent(context.nowMs) &&
+    stats.inFlight < stats.limit;
+}
+
+/** Estimated time until an answer of the server, with its price, ms. */
+export function estimateCost(
+  { entry, stats }: Candidate,
+  context: ChoiceContext,
+): number {
+  const serviceMs = stats.getServiceMs(context.assumedMs);
+  const occupancy = stats.estimateOccupancy(context.nowMs);
+  const ahead = Math.max(0, occupancy + 1 - entry.slots);
+  const use = Math.min(1, occupancy / entry.slots);
+  const time = serviceMs * (1 + 0.3 * use + ahead / entry.slots);
+  const failures = FAILURE_MS * stats.getFailures(context.nowMs);
+  const distance = entry.zone === context.zone
+    ? 0
+    : OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * context.bytes / 1024;
+  return time * (1 + NOISE * context.random()) + failures + distance;
+}
--- /dev/null
+++ b/packages/ranges/src/key_load.ts
@@ -0,0 +1,67 @@
+/** Requests per second and key, as routers report them. @module */
+import { KEY_COUNT } from "@jaytiller/routing";
+
+/** Rates that follow new counts within a few seconds. */
+export class KeyLoad {
+  readonly #rates = new Float64Array(KEY_COUNT);
+  readonly #sums = new Float64Array(KEY_COUNT + 1);
+  readonly #timeConstantMs: number;
+  #at = 0;
+
+  private constructor(timeConstantMs: number) {
+    this.#timeConstantMs = timeConstantMs;
+  }
+
+  static create(options: { timeConstantMs: number }): KeyLoad {
+    return new KeyLoad(options.timeConstantMs);
+  }
+
+  /** Adds requests that have arrived since the last report. */
+  add(key: number, count: number): void {
+    const perMs = count / this.#timeConstantMs;
+    this.#rates[key] = (this.#rates[key] ?? 0) + perMs * 1000;
+  }
+
+  /** Lets old counts fade and makes the sums anew. */
+  advance(nowMs: number): void {
+    const factor = Math.exp(-(nowMs - this.#at) / this.#timeConstantMs);
+    this.#at = nowMs;
+    let sum = 0;
+    for (let key = 0; key < KEY_COUNT; key++) {
+      const rate = this.#rates[key]! * factor;
+      this.#rates[key] = rate < 1e-6 ? 0 : rate;
+      this.#sums[key] = sum;
+      sum += rate;
+    }
+    this.#sums[KEY_COUNT] = sum;
+  }
+
+  /** Requests per second for keys `from` to `to`, as of the last advance. */
+  sum(from: number, to: number): number {
+    return this.#sums[to + 1]! - this.#sums[from]!;
+  }
+
+  /** Last key up to which keys from `from` on have at most `rate`. */
+  findEnd(from: number, to: number, rate: number): number {
+    let low = from - 1;
+    let high = to;
+    while (low < high) {
+      const middle = (low + high + 1) >> 1;
+      if (this.sum(from, middle) <= rate) low = middle;
+      else high = middle - 1;
+    }
+    return low;
+  }
+
+  /** First key from which keys up to `to` have at most `rate`. */
+  findStart(from: number, to: number, rate: number): number {
+    let low = from;
+    let high = to + 1;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (middle <= to && this.sum(middle, to) > rate) low = middle + 1;
+      else high = middle;
+    }
+    return low;
+  }
+}
--- /dev/null
+++ b/packages/ranges/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Ownership of the key ranges of sharded services. Pure: time is passed in.
+ * @module
+ */
+export * from "./assignment.js";
+export * from "./balance.js";
+export * from "./key_load.js";
+export * from "./lease_calls.js";
+export * from "./owner_table.js";
+export * from "./range_keeper.js";
+export * from "./record.js";
--- /dev/null
+++ b/packages/ranges/src/range_keeper.ts
@@ -0,0 +1,477 @@
+/** Keeps the owners of one service's keys: plans, leases, moves. @module */
+import { KEY_COUNT, ServerState, type ServerView } from "@jaytiller/routing";
+import {
+  applyChanges,
+  type Assignment,
+  type FormerOwner,
+  isSameLife,
+  type OwnerChange,
+  type ServerLife,
+} from "./assignment.js";
+import { type OwnerCandidate, planBalance } from "./balance.js";
+import type { KeyLoad } from "./key_load.js";
+import {
+  type LeaseCall,
+  LeaseCallEnd,
+  LeaseCallKind,
+  type LeaseCallResult,
+} from "./lease_calls.js";
+import { OwnerTable } from "./owner_table.js";
+
+/** Durations of leases. */
+export interface LeaseTimes {
+  /** Duration of a lease, ms. */
+  readonly holdMs: number;
+  /** A lease is renewed this long after the last renewal, ms. */
+  readonly renewMs: number;
+  /** How much slower than ours a server's clock may run, as a share. */
+  readonly clockSkew: number;
+}
+
+/** What a plan is made from. */
+export interface PlanContext {
+  readonly nowMs: number;
+  readonly view: ServerView;
+  readonly load: KeyLoad;
+  /** Requests per second that a server can run. */
+  readonly getCapacity: (id: string) => number;
+  /** Whether keys may move for the sake of load. */
+  readonly balance: boolean;
+  /** Whether servers that are missing may still come back. */
+  readonly isSettling: boolean;
+}
+
+/** Added to each lease for timers that fire late, ms. */
+const LEASE_MARGIN_MS = 150;
+/** A call without an answer is sent again after this time, ms. */
+const RETRY_MS = 250;
+/** Calls in a row without an answer after which a server is suspected. */
+const SUSPECT_AFTER = 2;
+/** Most moves for the sake of load that are begun in one plan. */
+const MAX_MOVES = 4;
+/** A lost server's range is spread over this many servers at the most. */
+const MAX_SPREAD = 3;
+
+/** What a successor knows of the leases that were given before it. */
+export interface RestoreOptions {
+  readonly times: LeaseTimes;
+  /** Time by which those leases have ended, ms. */
+  readonly inheritedUntilMs: number;
+}
+
+interface ServerNote {
+  failures: number;
+  nextProbeMs: number;
+}
+
+/**
+ * State of the ranges of one service on the coordinator. Changes are planned,
+ * written to the store by the caller, and committed with the fencing token
+ * that the store's order gives; only then their calls are sent.
+ */
+export class RangeKeeper {
+  readonly #service: string;
+  readonly #times: LeaseTimes;
+  #list: readonly Assignment[];
+  #changed = true;
+  readonly #notes = new Map<string, ServerNote>();
+  readonly #addresses = new Map<string, string>();
+  /** Calls that have not ended. */
+  readonly #open = new Map<string, LeaseCall>();
+  /** Earliest time of the next call for a range and server, ms. */
+  readonly #next = new Map<string, number>();
+  readonly #refused: LeaseCall[] = [];
+  /** Highest fencing token that an earlier coordinator may have granted. */
+  readonly #inheritedFence: number;
+  /** Time by which the leases of earlier coordinators have ended, ms. */
+  #inheritedUntilMs: number;
+
+  private constructor(
+    service: string,
+    list: readonly Assignment[],
+    options: RestoreOptions,
+  ) {
+    this.#service = service;
+    this.#list = list;
+    this.#times = options.times;
+    this.#inheritedUntilMs = options.inheritedUntilMs;
+    this.#inheritedFence = Math.max(...list.map((a) => a.fence));
+  }
+
+  /** Starts a service that no record names. */
+  static create(service: string, times: LeaseTimes): RangeKeeper {
+    return RangeKeeper.restore(service, [], { times, inheritedUntilMs: 0 });
+  }
+
+  /** Continues from a record. */
+  static restore(
+    service: string,
+    assignments: readonly Assignment[],
+    options: RestoreOptions,
+  ): RangeKeeper {
+    const list = assignments.length > 0 ? assignments : [{
+      from: 0,
+      to: KEY_COUNT - 1,
+      fence: 0,
+      former: [],
+      granted: false,
+      heldUntilMs: 0,
+      changedAtMs: 0,
+    }];
+    return new RangeKeeper(service, list, options);
+  }
+
+  get assignments(): readonly Assignment[] {
+    return this.#list;
+  }
+
+  /** Whether the table has changed since `takeChanged`. */
+  get isChanged(): boolean {
+    return this.#changed;
+  }
+
+  /** Returns whether the table has changed since the last call. */
+  takeChanged(): boolean {
+    const changed = this.#changed;
+    this.#changed = false;
+    return changed;
+  }
+
+  /**
+   * Takes note that earlier coordinators have ended: leases that they gave
+   * end by `untilMs` at the latest.
+   */
+  boundInherited(untilMs: number): void {
+    this.#inheritedUntilMs = Math.min(this.#inheritedUntilMs, untilMs);
+  }
+
+  /** Plans changes of owners: for lost and leaving servers, then for load. */
+  plan(context: PlanContext): readonly OwnerChange[] {
+    const candidates = this.#listCandidates(context);
+    if (candidates.length === 0) return [];
+    if (this.#list.every((a) => a.fence === 0)) return divide(candidates);
+    const needed = this.#planNeeded(candidates, context);
+    if (needed.length > 0 || !context.balance) return needed;
+    return planBalance(this.#list, candidates, {
+      nowMs: context.nowMs,
+      maxMoves: MAX_MOVES,
+      load: context.load,
+    });
+  }
+
+  /** Ranges as they are after the changes; nothing is sent for them yet. */
+  preview(
+    changes: readonly OwnerChange[],
+    context: { nowMs: number; fence: number; view: ServerView },
+  ): readonly Assignment[] {
+    return applyChanges(this.#list, changes, {
+      nowMs: context.nowMs,
+      fence: context.fence,
+      mayHold: (life, a) => this.#mayHold(life, a, context),
+    });
+  }
+
+  /** Makes changes that the store has accepted. */
+  commit(
+    changes: readonly OwnerChange[],
+    context: { nowMs: number; fence: number; view: ServerView },
+  ): void {
+    this.#list = this.preview(changes, context);
+    this.#changed = true;
+  }
+
+  /** Calls that are due; each has to be followed by `observe`. */
+  listCalls(nowMs: number, view: ServerView): readonly LeaseCall[] {
+    this.#dropFormer(nowMs, view);
+    const calls = this.#list.flatMap((a) => this.#listRangeCalls(a, view))
+      .filter((c) => (this.#next.get(nameCall(c)) ?? 0) <= nowMs);
+    const due = [...calls, ...this.#listProbes(nowMs, view)]
+      .filter((c) => !this.#open.has(nameCall(c)));
+    for (const call of due) this.#open.set(nameCall(call), call);
+    return due;
+  }
+
+  /** Takes note of the end of a call. */
+  observe(call: LeaseCall, result: LeaseCallResult, nowMs: number): void {
+    this.#open.delete(nameCall(call));
+    this.#noteServer(call, result.end);
+    const handlers: Record<LeaseCallKind, () => void> = {
+      [LeaseCallKind.Grant]: () => this.#observeGrant(call, result.end, nowMs),
+      [LeaseCallKind.Release]: () => this.#observeRelease(call, result, nowMs),
+      [LeaseCallKind.Probe]: () => {},
+    };
+    handlers[call.kind]();
+  }
+
+  /** Owners as routers may use them. */
+  makeTable(): OwnerTable {
+    return OwnerTable.create(this.#list.map((a) => ({
+      from: a.from,
+      to: a.to,
+      ...(a.granted && a.owner ? { server: a.owner.id } : {}),
+    })));
+  }
+
+  isSuspect(id: string): boolean {
+    return (this.#notes.get(id)?.failures ?? 0) >= SUSPECT_AFTER;
+  }
+
+  #listCandidates(context: PlanContext): OwnerCandidate[] {
+    return context.view.listService(this.#service)
+      .filter((e) => e.state === ServerState.Ready && !this.isSuspect(e.id))
+      .map((e) => ({
+        id: e.id,
+        born: e.born,
+        capacity: context.getCapacity(e.id),
+      }));
+  }
+
+  /** Time by which a lease under a fencing token has ended. */
+  #getHoldEnd({ fence, heldUntilMs }: { fence: number; heldUntilMs: number }) {
+    return fence <= this.#inheritedFence
+      ? Math.max(heldUntilMs, this.#inheritedUntilMs)
+      : heldUntilMs;
+  }
+
+  /** Changes for ranges whose owner is lost, leaves, or lives anew. */
+  #planNeeded(
+    candidates: readonly OwnerCandidate[],
+    context: PlanContext,
+  ): readonly OwnerChange[] {
+    const loads = new Map(candidates.map((c) => [c.id, 0]));
+    for (const a of this.#list) {
+      const known = a.owner && loads.get(a.owner.id);
+      if (known === undefined) continue;
+      loads.set(a.owner!.id, known + context.load.sum(a.from, a.to));
+    }
+    const changes: OwnerChange[] = [];
+    for (const a of this.#list) {
+      if (!this.#needsOwner(a, context)) continue;
+      for (const [from, to] of spread(a, context.load)) {
+        const owner = chooseIdle(candidates, loads);
+        const load = context.load.sum(from, to) + 1e-3 * (to - from + 1);
+        loads.set(owner.id, (loads.get(owner.id) ?? 0) + load);
+        changes.push({ from, to, owner: { id: owner.id, born: owner.born } });
+      }
+    }
+    return changes;
+  }
+
+  #needsOwner(a: Assignment, context: PlanContext): boolean {
+    const { view, nowMs } = context;
+    if (!a.owner) return true;
+    const entry = view.find(a.owner.id);
+    if (!entry) return !context.isSettling;
+    if (entry.born !== a.owner.born) return true;
+    if (entry.state !== ServerState.Ready) return true;
+    // A suspected server may answer again before its lease ends.
+    return this.isSuspect(a.owner.id) && nowMs >= this.#getHoldEnd(a) &&
+      !this.#hasOpenGrant(a.owner, a);
+  }
+
+  #mayHold(
+    life: ServerLife,
+    a: Assignment,
+    { nowMs, view }: { nowMs: number; view: ServerView },
+  ): boolean {
+    if (hasNewerLife(life, view)) return false;
+    return nowMs < this.#getHoldEnd(a) || this.#hasOpenGrant(life, a);
+  }
+
+  #hasOpenGrant(life: ServerLife, range: { from: number; to: number }) {
+    return [...this.#open.values()].some((c) =>
+      c.kind === LeaseCallKind.Grant && isSameLife(c.server, life) &&
+      c.from <= range.to && range.from <= c.to
+    );
+  }
+
+  /** Forgets former owners whose lease or life has ended. */
+  #dropFormer(nowMs: number, view: ServerView): void {
+    const mustLetGo = (f: FormerOwner, a: Assignment) =>
+      !hasNewerLife(f, view) &&
+      (nowMs < this.#getHoldEnd(f) || this.#hasOpenGrant(f, a));
+    this.#list = this.#list.map((a) => {
+      if (a.former.length === 0) return a;
+      const former = a.former.filter((f) => mustLetGo(f, a));
+      return former.length === a.former.length ? a : { ...a, former };
+    });
+  }
+
+  #listRangeCalls(a: Assignment, view: ServerView): readonly LeaseCall[] {
+    if (a.former.length > 0) {
+      return a.former.flatMap((f) => this.#makeReleases(a, f, view));
+    }
+    if (!a.owner || this.isSuspect(a.owner.id)) return [];
+    const entry = view.find(a.owner.id);
+    if (entry && entry.born !== a.owner.born) return [];
+    const address = entry?.address ?? this.#addresses.get(a.owner.id);
+    if (address === undefined) return [];
+    return [{
+      kind: LeaseCallKind.Grant,
+      server: a.owner,
+      address,
+      from: a.from,
+      to: a.to,
+      fence: a.fence,
+      holdMs: this.#times.holdMs,
+      ...(a.handover && !a.granted ? { handover: a.handover } : {}),
+    }];
+  }
+
+  #makeReleases(
+    a: Assignment,
+    former: FormerOwner,
+    view: ServerView,
+  ): readonly LeaseCall[] {
+    const address = view.find(former.id)?.address ??
+      this.#addresses.get(former.id);
+    if (address === undefined) return [];
+    return [{
+      kind: LeaseCallKind.Release,
+      server: { id: former.id, born: former.born },
+      address,
+      from: a.from,
+      to: a.to,
+      fence: a.fence,
+      holdMs: 0,
+    }];
+  }
+
+  #listProbes(nowMs: number, view: ServerView): readonly LeaseCall[] {
+    const probes: LeaseCall[] = [];
+    for (const [id, note] of this.#notes) {
+      const entry = view.find(id);
+      if (!entry) this.#notes.delete(id);
+      if (!entry || !this.isSuspect(id) || nowMs < note.nextProbeMs) continue;
+      note.nextProbeMs = nowMs + RETRY_MS;
+      const server = { id, born: entry.born };
+      const range = { from: 0, to: 0, fence: 0, holdMs: 0 };
+      const kind = LeaseCallKind.Probe;
+      probes.push({ kind, server, address: entry.address, ...range });
+    }
+    return probes;
+  }
+
+  #noteServer({ server, address }: LeaseCall, end: LeaseCallEnd): void {
+    this.#addresses.set(server.id, address);
+    const note = this.#notes.get(server.id) ?? { failures: 0, nextProbeMs: 0 };
+    const isSilent = end === LeaseCallEnd.NotSent ||
+      end === LeaseCallEnd.Unknown;
+    note.failures = isSilent ? note.failures + 1 : 0;
+    this.#notes.set(server.id, note);
+  }
+
+  #observeGrant(call: LeaseCall, end: LeaseCallEnd, nowMs: number): void {
+    const { holdMs, clockSkew, renewMs } = this.#times;
+    const until = nowMs + holdMs * (1 + clockSkew) + LEASE_MARGIN_MS;
+    const mayHold = end === LeaseCallEnd.Done || end === LeaseCallEnd.Unknown;
+    const accepted = end === LeaseCallEnd.Done;
+    this.#next.set(nameCall(call), nowMs + (accepted ? renewMs : RETRY_MS));
+    this.#list = this.#list.map((a) => {
+      if (a.from > call.to || call.from > a.to) return a;
+      const former = mayHold
+        ? a.former.map((f) =>
+          isSameLife(f, call.server) && f.fence === call.fence
+            ? { ...f, heldUntilMs: until }
+            : f
+        )
+        : a.former;
+      if (!isSameLife(a.owner, call.server) || a.fence !== call.fence) {
+        return { ...a, former };
+      }
+      const granted = accepted || a.granted && end !== LeaseCallEnd.Fenced;
+      if (granted !== a.granted) this.#changed = true;
+      return {
+        ...a,
+        former,
+        granted,
+        heldUntilMs: mayHold ? until : a.heldUntilMs,
+      };
+    });
+    if (end === LeaseCallEnd.Fenced || end === LeaseCallEnd.Rejected) {
+      this.#refused.push(call);
+    }
+  }
+
+  /** Grants that servers did not accept since the last call. */
+  takeRefused(): readonly LeaseCall[] {
+    return this.#refused.splice(0);
+  }
+
+  #observeRelease(
+    call: LeaseCall,
+    result: LeaseCallResult,
+    nowMs: number,
+  ): void {
+    this.#next.set(nameCall(call), nowMs + RETRY_MS);
+    if (result.end !== LeaseCallEnd.Done) return;
+    this.#list = this.#list.map((a) => {
+      if (a.from < call.from || a.to > call.to || a.fence !== call.fence) {
+        return a;
+      }
+      const former = a.former.filter((f) =>
+        !isSameLife(f, call.server) || this.#hasOpenGrant(f, a)
+      );
+      if (former.length === a.former.length) return a;
+      const { handover } = result;
+      return { ...a, former, ...(handover ? { handover } : {}) };
+    });
+  }
+}
+
+function hasNewerLife(life: ServerLife, view: ServerView): boolean {
+  const entry = view.find(life.id);
+  return entry !== undefined && entry.born > life.born;
+}
+
+function nameRange(
+  kind: LeaseCallKind,
+  range: { from: number; to: number; fence: number },
+  id: string,
+): string {
+  return `${kind}/${id}/${range.from}-${range.to}/${range.fence}`;
+}
+
+function nameCall(call: LeaseCall): string {
+  return nameRange(call.kind, call, call.server.id);
+}
+
+/** Divides all keys in proportion to what servers can do. */
+function divide(candidates: readonly OwnerCandidate[]): readonly OwnerChange[] {
+  const total = candidates.reduce((sum, c) => sum + c.capacity, 0);
+  let from = 0;
+  let share = 0;
+  return candidates.map(({ id, born, capacity }, i) => {
+    share += capacity / total;
+    const isLast = i === candidates.length - 1;
+    const to = isLast ? KEY_COUNT - 1 : Math.floor(share * KEY_COUNT) - 1;
+    const change = { from, to, owner: { id, born } };
+    from = to + 1;
+    return change;
+  });
+}
+
+function chooseIdle(
+  candidates: readonly OwnerCandidate[],
+  loads: ReadonlyMap<string, number>,
+): OwnerCandidate {
+  const use = (c: OwnerCandidate) => (loads.get(c.id) ?? 0) / c.capacity;
+  return candidates.reduce((best, c) => use(c) < use(best) ? c : best);
+}
+
+/** Cuts a range into pieces of about the same load. */
+function spread(
+  range: Assignment,
+  load: KeyLoad,
+): readonly (readonly [number, number])[] {
+  const total = load.sum(range.from, range.to);
+  const pieces: (readonly [number, number])[] = [];
+  let from = range.from;
+  for (let left = MAX_SPREAD; left > 1 && total > 0; left--) {
+    const end = load.findEnd(from, range.to, load.sum(from, range.to) / left);
+    if (end < from || end >= range.to) break;
+    pieces.push([from, end]);
+    from = end + 1;
+  }
+  return [...pieces, [from, range.to]];
+}
--- /dev/null
+++ b/packages/routing/src/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * What a router knows about the deployment: routes, services and servers.
+ * @module
+ */
+export * from "./configuration.js";
+export * from "./route_table.js";
+export * from "./server_view.js";
+export * from "./split_chooser.js";
--- /dev/null
+++ b/packages/routing/src/server_view.ts
@@ -0,0 +1,109 @@
+/** Which backend servers there are. @module */
+
+/** Whether a server takes new work. */
+export enum ServerState {
+  Ready = "ready",
+  Draining = "draining",
+}
+
+/** What a backend server says of itself. */
+export interface ServerEntry {
+  readonly id: string;
+  /** Start of this life of the server, Unix ms; an id may have several. */
+  readonly born: number;
+  readonly service: string;
+  /** `host:port` */
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly state: ServerState;
+  /** Number of its report within this life. */
+  readonly sequence: number;
+}
+
+/** A new entry of a server, or its removal. */
+export interface ServerChange {
+  readonly id: string;
+  /** Absent if the server is gone. */
+  readonly entry?: ServerEntry;
+}
+
+/** Immutable set of servers, read up to a position of the platform's feed. */
+export class ServerView {
+  readonly #entries: ReadonlyMap<string, ServerEntry>;
+  readonly #byService = new Map<string, ServerEntry[]>();
+  readonly position: number;
+
+  private constructor(
+    entries: ReadonlyMap<string, ServerEntry>,
+    position: number,
+  ) {
+    this.#entries = entries;
+    this.position = position;
+    for (const entry of entries.values()) {
+      const list = this.#byService.get(entry.service) ?? [];
+      list.push(entry);
+      this.#byService.set(entry.service, list);
+    }
+  }
+
+  static create(entries: readonly ServerEntry[], position = 0): ServerView {
+    return new ServerView(new Map(entries.map((e) => [e.id, e])), position);
+  }
+
+  /** Returns a view with the changes, or this one if they change nothing. */
+  apply(changes: readonly ServerChange[], position: number): ServerView {
+    const kept = changes.filter((c) => this.#isNews(c));
+    if (kept.length === 0 && position === this.position) return this;
+    if (kept.length === 0) return new ServerView(this.#entries, position);
+    const entries = new Map(this.#entries);
+    for (const { id, entry } of kept) {
+      if (entry) entries.set(id, entry);
+      else entries.delete(id);
+    }
+    return new ServerView(entries, position);
+  }
+
+  find(id: string): ServerEntry | undefined {
+    return this.#entries.get(id);
+  }
+
+  listService(service: string): readonly ServerEntry[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  list(): readonly ServerEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Changes that make `older` this view. */
+  listChangesSince(older: ServerView): readonly ServerChange[] {
+    const changes: ServerChange[] = [];
+    for (const entry of this.#entries.values()) {
+      const known = older.find(entry.id);
+      if (!known || !isSameFact(known, entry)) {
+        changes.push({ id: entry.id, entry });
+      }
+    }
+    for (const { id } of older.list()) {
+      if (!this.#entries.has(id)) changes.push({ id });
+    }
+    return changes;
+  }
+
+  /** A late report of an earlier life, or an older report, is no news. */
+  #isNews({ id, entry }: ServerChange): boolean {
+    const known = this.#entries.get(id);
+    if (!known) return entry !== undefined;
+    if (!entry) return true;
+    if (entry.born !== known.born) return entry.born > known.born;
+    return entry.sequence > known.sequence;
+  }
+}
+
+/** Whether two entries differ in nothing but the number of the report. */
+export function isSameFact(a: ServerEntry, b: ServerEntry): boolean {
+  return a.born === b.born && a.state === b.state &&
+    a.address === b.address && a.service === b.service &&
+    a.zone === b.zone && a.slots === b.slots;
+}
