Pass answers without a length on without one; close idle connections at a stop

Change: mirror the framing; close the port and idle connections as soon as the balancer has led clients elsewhere.

--- a/packages/gateway/src/client_call.ts
+++ b/packages/gateway/src/client_call.ts
@@ -93,10 +93,15 @@
   deliver(answer: ServerAnswer): void {
     if (this.isAnswered) return;
     this.#end(answer.status);
+    // An answer without a length is passed on without one.
+    if (answer.isUnframed) this.#response.useChunkedEncodingByDefault = false;
+    const closing = answer.isUnframed
+      ? ["Connection", "close"]
+      : this.#listClosing();
     this.#response.writeHead(
       answer.status,
       answer.message,
-      [...answer.headers, ...this.#listClosing()],
+      [...answer.headers, ...closing],
     );
     this.#response.end(answer.body);
   }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -311,6 +311,7 @@
       servers: call.tried.join(","),
       end: result?.end,
       problem: result?.problem,
+      unframed: result?.answer?.isUnframed || undefined,
       ms: Math.round(nowMs - call.arrivedMs),
       leftMs: Math.round(call.deadlineMs - nowMs),
       version: knowledge.routes?.version,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -30,6 +30,8 @@
   /** Names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** The server marked the end of the body by the end of its connection. */
+  readonly isUnframed: boolean;
 }
 
 /** Result of a send. */
@@ -268,12 +270,16 @@
   const status = response.statusCode ?? 0;
   const hasLength = response.headers["content-length"] !== undefined ||
     BODILESS.has(status);
+  const isChunked = response.headers["transfer-encoding"] !== undefined;
   const headers = copyHeaders(response.rawHeaders, () => false);
-  if (!hasLength) headers.push("Content-Length", String(body.length));
+  // Only a body whose end the server has marked is known to be whole.
+  const isUnframed = !hasLength && !isChunked;
+  if (isChunked) headers.push("Content-Length", String(body.length));
   return {
     status,
     message: response.statusMessage ?? "",
     headers,
     body,
+    isUnframed,
   };
 }
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -22,7 +22,6 @@
   readonly #listen: ListenAddress;
   readonly #log: EventLog;
   readonly #sockets = new Set<Socket>();
-  #lastRequestMs = 0;
 
   constructor(options: {
     dispatcher: Dispatcher;
@@ -40,7 +39,6 @@
       requestTimeout: 0,
       noDelay: true,
     }, (request, response) => {
-      this.#lastRequestMs = performance.now();
       dispatcher.serve(request, response).catch((error: unknown) => {
         log.record("serveFailed", { problem: formatError(error) });
         response.destroy();
@@ -80,29 +78,24 @@
   }
 
   /**
-   * Serves on while clients are led elsewhere, closes connections with their
-   * next answer, and ends when all requests are answered. `quietMs`: nobody
-   * uses an open connection that has been idle for this long.
+   * Serves on while the balancer leads clients elsewhere, then closes the port
+   * and idle connections, and ends when all requests are answered.
    */
-  async drain(options: { leadMs: number; quietMs: number; maxMs: number }) {
+  async drain(options: { leadMs: number; maxMs: number }): Promise<void> {
     const startedAt = performance.now();
     this.#dispatcher.closeConnections();
-    const since = () => performance.now() - startedAt;
     await pause(options.leadMs);
-    while (since() < options.maxMs) {
-      const idleMs = performance.now() - this.#lastRequestMs;
-      if (this.#dispatcher.open === 0 && idleMs > options.quietMs) break;
-      await pause(STOP_POLL_MS);
-    }
     this.#server.close();
-    this.#server.closeIdleConnections();
-    while (this.#dispatcher.open > 0 && since() < options.maxMs) {
+    const getMs = () => performance.now() - startedAt;
+    while (this.#dispatcher.open > 0 && getMs() < options.maxMs) {
+      // A connection whose request has not arrived is idle, too.
+      this.#server.closeIdleConnections();
       await pause(STOP_POLL_MS);
     }
     this.#log.record("drained", {
       open: this.#dispatcher.open,
       connections: this.#sockets.size,
-      ms: Math.round(since()),
+      ms: Math.round(getMs()),
     });
     for (const socket of this.#sockets) socket.destroySoon();
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,8 +37,6 @@
 const CLOCK_SKEW = 0.02;
 /** The platform's balancer leads clients elsewhere within this time, ms. */
 const LEAD_MS = 2_600;
-/** A connection that was idle for so long is closed at a stop, ms. */
-const QUIET_MS = 300;
 /** Time kept for the end of the process itself, ms. */
 const STOP_RESERVE_MS = 500;
 /** Waiting for owners of keys holds the first readiness up at most, ms. */
@@ -127,7 +125,7 @@
     const { stopMs } = this.#options.settings();
     const handedOver = this.#member.stop();
     const maxMs = stopMs - STOP_RESERVE_MS;
-    await this.#front.drain({ leadMs: LEAD_MS, quietMs: QUIET_MS, maxMs });
+    await this.#front.drain({ leadMs: LEAD_MS, maxMs });
     await handedOver;
     await this.#lifeCycle.stopAll({ timeoutMs: STOP_TIMEOUT_MS });
   }
--- a/packages/gateway/src/server_agents.ts
+++ b/packages/gateway/src/server_agents.ts
@@ -1,7 +1,17 @@
 /** Kept connections to backend servers. @module */
-import { Agent, type ClientRequest } from "node:http";
+import { Agent, type AgentOptions, type ClientRequest } from "node:http";
 import type { Duplex } from "node:stream";
 
+/** Documented methods of the agent that its type leaves out. */
+interface SocketKeeper {
+  keepSocketAlive(socket: Duplex): boolean;
+  reuseSocket(socket: Duplex, request: ClientRequest): void;
+}
+
+const KeepingAgent = Agent as unknown as new (
+  options: AgentOptions,
+) => Agent & SocketKeeper;
+
 /** An idle connection is closed after this time, ms. */
 const IDLE_MS = 4_000;
 /** Idle connections that are kept for one server. */
@@ -11,23 +21,21 @@
  * Keeps connections to one server. Bytes that arrive while no request waits
  * belong to no request: they end the connection.
  */
-class ServerAgent extends Agent {
+class ServerAgent extends KeepingAgent {
   readonly #strays = new WeakMap<Duplex, () => void>();
 
-  keepSocketAlive(socket: Duplex): boolean {
+  override keepSocketAlive(socket: Duplex): boolean {
     if (socket.readableLength > 0) return false;
     const onStray = () => socket.destroy();
     this.#strays.set(socket, onStray);
     socket.on("data", onStray);
-    (socket as Duplex & { setKeepAlive(on: boolean, ms: number): void })
-      .setKeepAlive(true, 1_000);
-    return true;
+    return super.keepSocketAlive(socket);
   }
 
-  reuseSocket(socket: Duplex, request: ClientRequest): void {
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
     const onStray = this.#strays.get(socket);
     if (onStray) socket.removeListener("data", onStray);
-    request.reusedSocket = true;
+    super.reuseSocket(socket, request);
   }
 }
 
