--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from "@jaytiller/kernel";
 import {
   type Assignment,
+  computeLeaseEnd,
   encodeRecord,
   type LeaseCall,
   LeaseCallEnd,
@@ -10,9 +11,11 @@
   type OwnerChange,
   type OwnershipRecord,
   type OwnerTable,
+  PREDECESSOR_LIMIT_MS,
   RangeKeeper,
   readCoordinator,
   type RouterRef,
+  TermGuard,
 } from "@jaytiller/ranges";
 import { CapacityBook } from "./capacity_book.js";
 import type { FeedReader } from "./feed_reader.js";
@@ -25,11 +28,9 @@
 import {
   BEAT_MS,
   CONFIGURATION_WAIT_MS,
-  PREDECESSOR_LIMIT_MS,
   RECORD_REFRESH_MS,
   SERVERS_READ_MS,
   STORE_RETRY_MS,
-  UNPROVED_LIMIT_MS,
 } from "./timing.js";
 
 /** What the coordinator works with. */
@@ -55,8 +56,6 @@
 }
 
 const TICK_MS = 50;
-/** A call that was sent before a term ended arrives within this time, ms. */
-const CALL_FLIGHT_MS = 1_000;
 const BALANCE_MS = 500;
 const KEYS_IN_REPORT = 400;
 /** A router that does not answer is asked again after this time, ms. */
@@ -79,8 +78,7 @@
   readonly #predecessors: RouterRef[];
   #routers: readonly RouterRef[];
   #position: number;
-  #provedAt: number;
-  #needsProof = false;
+  readonly #guard: TermGuard;
   #isWriting = false;
   #writtenAt: number;
   #nextBalanceMs = 0;
@@ -94,7 +92,7 @@
     this.#parts = parts;
     this.#term = claim.term;
     this.#position = claim.term + 1;
-    this.#provedAt = nowMs;
+    this.#guard = TermGuard.create(nowMs);
     this.#writtenAt = nowMs;
     this.#inherited = claim.inherited;
     const { self } = parts;
@@ -163,7 +161,7 @@
 
   #restoreKeepers(record: OwnershipRecord | undefined, nowMs: number): void {
     const inheritedUntilMs = nowMs + PREDECESSOR_LIMIT_MS +
-      this.#leaseEnd();
+      computeLeaseEnd(this.#parts.times);
     const options = { times: this.#parts.times, inheritedUntilMs };
     for (const [service, list] of Object.entries(record?.services ?? {})) {
       const keeper = RangeKeeper.restore(service, list, options);
@@ -172,15 +170,9 @@
     if (this.#predecessors.length === 0) this.#boundInherited(nowMs);
   }
 
-  /** Time within which a lease that was given now has ended, ms. */
-  #leaseEnd(): number {
-    const { holdMs, clockSkew } = this.#parts.times;
-    return holdMs * (1 + clockSkew) + CALL_FLIGHT_MS;
-  }
-
   #boundInherited(nowMs: number): void {
     for (const keeper of this.#keepers.values()) {
-      keeper.boundInherited(nowMs + this.#leaseEnd());
+      keeper.boundInherited(nowMs + computeLeaseEnd(this.#parts.times));
     }
   }
 
@@ -204,13 +196,13 @@
     if (this.#hasEnded) return;
     const nowMs = performance.now();
     if (this.#pauses.check(nowMs, Date.now())) {
-      this.#needsProof = true;
+      this.#guard.doubt(performance.now());
       this.#parts.log.record("paused", { term: this.#term });
       void this.#prove();
     }
     this.#addServices();
     this.#plan(nowMs);
-    if (this.#mayGrant(nowMs)) this.#sendCalls(nowMs);
+    if (this.#guard.mayGrant(nowMs)) this.#sendCalls(nowMs);
     this.#publish();
     for (const member of this.#members.values()) {
       if (nowMs >= member.nextMs) this.#sendBeat(member);
@@ -218,11 +210,6 @@
     this.#isDirty = false;
   }
 
-  /** A coordinator that may have been superseded sends no grants. */
-  #mayGrant(nowMs: number): boolean {
-    return !this.#needsProof && nowMs - this.#provedAt < UNPROVED_LIMIT_MS;
-  }
-
   #addServices(): void {
     const { knowledge, times } = this.#parts;
     for (const service of knowledge.routes?.listServices() ?? []) {
@@ -320,7 +307,7 @@
         result.end === StoreEnd.WrongEnd && await this.#isWritten(text, at);
       if (isDone) {
         this.#position = at + 1;
-        this.#proveAt(sentAt);
+        this.#guard.prove(sentAt);
         this.#writtenAt = performance.now();
         return true;
       }
@@ -358,16 +345,11 @@
     return readCoordinator(text)?.incarnation === this.#parts.self.incarnation;
   }
 
-  #proveAt(atMs: number): void {
-    this.#provedAt = Math.max(this.#provedAt, atMs);
-    this.#needsProof = false;
-  }
-
   /** Finds out whether this is still the newest term. */
   async #prove(): Promise<void> {
-    while (this.#needsProof && !this.#hasEnded) {
+    while (this.#guard.isInDoubt && !this.#hasEnded) {
       await this.#readOwnership(0);
-      if (this.#needsProof) await pause(STORE_RETRY_MS);
+      if (this.#guard.isInDoubt) await pause(STORE_RETRY_MS);
     }
   }
 
@@ -388,7 +370,7 @@
       e.offset >= position && !this.#isOwn(e.text)
     );
     if (other) this.end("another router has claimed");
-    else this.#proveAt(sentAt);
+    else this.#guard.prove(sentAt);
     return true;
   }
 
@@ -418,8 +400,8 @@
         problem: result.problem,
       });
     }
-    if (result.end === LeaseCallEnd.Fenced && !this.#needsProof) {
-      this.#needsProof = true;
+    if (result.end === LeaseCallEnd.Fenced && !this.#guard.isInDoubt) {
+      this.#guard.doubt(performance.now());
       void this.#prove();
     }
     if (call.kind === LeaseCallKind.Release || keeper.isChanged) this.#tick();
--- a/packages/gateway/src/timing.ts
+++ b/packages/gateway/src/timing.ts
@@ -14,9 +14,5 @@
 export const STORE_RETRY_MS = 500;
 /** The coordinator writes its record anew after this time, ms. */
 export const RECORD_REFRESH_MS = 2_500;
-/** A coordinator stops granting without proof of its term for this long, ms. */
-export const UNPROVED_LIMIT_MS = 13_000;
-/** Successors assume that an earlier coordinator grants for this long, ms. */
-export const PREDECESSOR_LIMIT_MS = 15_000;
 /** A gap between two turns that shows that the process stood still, ms. */
 export const PAUSE_MS = 500;
--- a/packages/ranges/src/mod.ts
+++ b/packages/ranges/src/mod.ts
@@ -9,3 +9,4 @@
 export * from "./owner_table.js";
 export * from "./range_keeper.js";
 export * from "./record.js";
+export * from "./term_guard.js";
