gateway: Weigh service times by the number of requests measured

Cause: a router reported its estimate of a server with every beat, also one that rested on a single request. Ruled out: lost key counts, a second coordinator, limits at the routers.

Change: reports carry count and sum of new measurements; the coordinator weighs them with the mean of the service as a prior; a router needs three measurements.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -11,6 +11,7 @@
   type OwnerChange,
   type OwnershipRecord,
   type OwnerTable,
+  type PlanContext,
   PREDECESSOR_LIMIT_MS,
   RangeKeeper,
   readCoordinator,
@@ -56,7 +57,9 @@
 }
 
 const TICK_MS = 50;
-const BALANCE_MS = 500;
+const BALANCE_MS = 300;
+/** Pause between two log lines about the balance, ms. */
+const SUMMARY_MS = 2_000;
 const KEYS_IN_REPORT = 400;
 /** A router that does not answer is asked again after this time, ms. */
 const LOST_MEMBER_RETRY_MS = 1_000;
@@ -82,6 +85,7 @@
   #isWriting = false;
   #writtenAt: number;
   #nextBalanceMs = 0;
+  #nextSummaryMs = 0;
   #isDirty = true;
   #hasEnded = false;
   #timer: NodeJS.Timeout | undefined;
@@ -226,6 +230,8 @@
       this.#nextBalanceMs = nowMs + BALANCE_MS;
       this.#takeOwnReport();
       this.#book.advance(nowMs);
+      const { servers } = this.#parts.knowledge;
+      this.#book.keep((id) => servers.find(id) !== undefined);
     }
     const changes = new Map<string, readonly OwnerChange[]>();
     for (const [service, keeper] of this.#keepers) {
@@ -242,12 +248,30 @@
     options: { nowMs: number; balance: boolean },
   ): readonly OwnerChange[] {
     const view = this.#parts.knowledge.servers;
-    return keeper.plan({
+    const context = {
       ...options,
       view,
       load: this.#book.getLoad(service),
-      getCapacity: (id) => this.#book.getCapacity(view, id),
+      getCapacity: this.#book.makeCapacities(view, service),
       isSettling: this.#parts.reader.isSettling(options.nowMs),
+    };
+    if (options.balance) this.#logBalance(service, keeper, context);
+    return keeper.plan(context);
+  }
+
+  #logBalance(service: string, keeper: RangeKeeper, context: PlanContext) {
+    if (context.nowMs < this.#nextSummaryMs) return;
+    this.#nextSummaryMs = context.nowMs + SUMMARY_MS;
+    const summary = keeper.summarize(context);
+    if (!summary) return;
+    this.#parts.log.record("balance", {
+      service,
+      ...summary,
+      load: round(summary.load),
+      capacity: round(summary.capacity),
+      busiestUse: round(summary.busiestUse),
+      idlestUse: round(summary.idlestUse),
+      ranges: keeper.assignments.length,
     });
   }
 
@@ -483,7 +507,7 @@
     const { stats } = this.#parts;
     this.#book.addReport(
       stats.takeKeyCounts(KEYS_IN_REPORT),
-      stats.listServiceTimes(),
+      stats.takeServiceTimes(),
     );
   }
 
@@ -534,6 +558,10 @@
   return list.filter((p) => p.node !== self.node);
 }
 
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -141,7 +141,7 @@
       serversNumber: this.#serversNumber,
       ownersNumber: this.#ownersNumber,
       keys: stats.takeKeyCounts(KEYS_IN_REPORT),
-      times: stats.listServiceTimes(),
+      times: stats.takeServiceTimes(),
     };
   }
 
--- a/packages/gateway/src/stats_book.ts
+++ b/packages/gateway/src/stats_book.ts
@@ -8,8 +8,12 @@
 /** Counts of one key since the last report. */
 export type KeyCount = readonly [service: string, key: number, count: number];
 
-/** Time of one request at a server, ms. */
-export type ServiceTime = readonly [server: string, ms: number];
+/** Measured requests of a server since the last report, and their time, ms. */
+export type ServiceTime = readonly [
+  server: string,
+  count: number,
+  sumMs: number,
+];
 
 /** Statistics by server id and counts by key. */
 export class StatsBook {
@@ -50,11 +54,12 @@
     return counts.sort((a, b) => b[2] - a[2]).slice(0, limit);
   }
 
-  listServiceTimes(): readonly ServiceTime[] {
+  /** Returns what has been measured since the last call. */
+  takeServiceTimes(): readonly ServiceTime[] {
     const times: ServiceTime[] = [];
     for (const [id, stats] of this.#servers) {
-      const ms = stats.measuredServiceMs;
-      if (ms !== undefined) times.push([id, Math.round(ms)]);
+      const taken = stats.takeSamples();
+      if (taken) times.push([id, taken.count, Math.round(taken.sumMs)]);
     }
     return times;
   }
--- a/packages/placement/src/server_stats.ts
+++ b/packages/placement/src/server_stats.ts
@@ -22,6 +22,8 @@
 }
 
 const EWMA_WEIGHT = 0.15;
+/** One quick request says little about a server. */
+const MIN_SAMPLES = 3;
 /** Time constant with which failures are forgotten, ms. */
 const FAILURE_DECAY_MS = 3_000;
 /** Time for which a server that does not answer is avoided at first, ms. */
@@ -35,7 +37,10 @@
 /** Mutable record of one server. */
 export class ServerStats {
   inFlight = 0;
-  #serviceMs: number | undefined;
+  #serviceMs = 0;
+  #samples = 0;
+  #newSamples = 0;
+  #newSumMs = 0;
   #load: ServerLoad | undefined;
   #loadAt = -Infinity;
   #sentSinceLoad = 0;
@@ -47,11 +52,20 @@
 
   /** Time that the server takes for a request without waiting, ms. */
   getServiceMs(assumedMs: number): number {
-    return this.#serviceMs ?? assumedMs;
+    return this.measuredServiceMs ?? assumedMs;
   }
 
+  /** The same; absent until a few requests have been measured. */
   get measuredServiceMs(): number | undefined {
-    return this.#serviceMs;
+    return this.#samples < MIN_SAMPLES ? undefined : this.#serviceMs;
+  }
+
+  /** Returns what has been measured since the last call. */
+  takeSamples(): { count: number; sumMs: number } | undefined {
+    if (this.#newSamples === 0) return undefined;
+    const taken = { count: this.#newSamples, sumMs: this.#newSumMs };
+    [this.#newSamples, this.#newSumMs] = [0, 0];
+    return taken;
   }
 
   /** Requests that this router may have under way at the server. */
@@ -109,10 +123,7 @@
     this.#silences = 0;
     this.#silentUntil = -Infinity;
     const queued = load ? load.waiting > 0 : false;
-    if (!queued && latencyMs !== undefined) {
-      const known = this.#serviceMs ?? latencyMs;
-      this.#serviceMs = known + EWMA_WEIGHT * (latencyMs - known);
-    }
+    if (!queued && latencyMs !== undefined) this.#noteServiceTime(latencyMs);
     if (load && load.waiting > load.slots) {
       this.#limit = Math.max(1, this.#limit * 0.95);
     } else {
@@ -122,6 +133,15 @@
     this.#failuresAt = nowMs;
   }
 
+  /** The first measurements count alike, later ones fade. */
+  #noteServiceTime(ms: number): void {
+    this.#samples += 1;
+    this.#newSamples += 1;
+    this.#newSumMs += ms;
+    const weight = Math.max(EWMA_WEIGHT, 1 / this.#samples);
+    this.#serviceMs += weight * (ms - this.#serviceMs);
+  }
+
   #noteFull(): void {
     this.#silences = 0;
     this.#limit = Math.max(1, this.#limit * 0.7);
--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -25,9 +25,9 @@
 /** Below this share of its capacity a server is left alone. */
 const BUSY_UTILIZATION = 0.55;
 /** A server moves keys away if it is busier than the mean by this factor. */
-const BUSY_FACTOR = 1.25;
+const BUSY_FACTOR = 1.15;
 /** A range stays for this long, so that its move shows in the load, ms. */
-const REST_MS = 2_500;
+const REST_MS = 1_200;
 /** A move of less than this share of a server's load is not worth it. */
 const MIN_SHARE = 0.08;
 
@@ -37,6 +37,41 @@
   readonly ranges: Assignment[];
 }
 
+/** How evenly the load lies, for the log. */
+export interface BalanceSummary {
+  readonly servers: number;
+  /** Requests per second of all keys. */
+  readonly load: number;
+  /** Requests per second that all servers can run. */
+  readonly capacity: number;
+  readonly busiest: string;
+  /** Share of its capacity that the busiest server uses. */
+  readonly busiestUse: number;
+  readonly idlest: string;
+  readonly idlestUse: number;
+}
+
+/** Sums up the load of the servers. */
+export function summarizeBalance(
+  assignments: readonly Assignment[],
+  candidates: readonly OwnerCandidate[],
+  load: KeyLoad,
+): BalanceSummary | undefined {
+  const seats = makeSeats(assignments, candidates, load);
+  const busiest = findExtreme(seats, 1);
+  const idlest = findExtreme(seats, -1);
+  if (!busiest || !idlest) return undefined;
+  return {
+    servers: seats.length,
+    load: seats.reduce((sum, s) => sum + s.load, 0),
+    capacity: seats.reduce((sum, s) => sum + s.candidate.capacity, 0),
+    busiest: busiest.candidate.id,
+    busiestUse: computeUse(busiest),
+    idlest: idlest.candidate.id,
+    idlestUse: computeUse(idlest),
+  };
+}
+
 /** Plans moves between the owners of granted ranges. */
 export function planBalance(
   assignments: readonly Assignment[],
--- a/packages/ranges/src/range_keeper.ts
+++ b/packages/ranges/src/range_keeper.ts
@@ -8,7 +8,12 @@
   type OwnerChange,
   type ServerLife,
 } from "./assignment.js";
-import { type OwnerCandidate, planBalance } from "./balance.js";
+import {
+  type BalanceSummary,
+  type OwnerCandidate,
+  planBalance,
+  summarizeBalance,
+} from "./balance.js";
 import type { KeyLoad } from "./key_load.js";
 import {
   type LeaseCall,
@@ -48,7 +53,7 @@
 /** Calls in a row without an answer after which a server is suspected. */
 const SUSPECT_AFTER = 2;
 /** Most moves for the sake of load that are begun in one plan. */
-const MAX_MOVES = 4;
+const MAX_MOVES = 6;
 /** A lost server's range is spread over this many servers at the most. */
 const MAX_SPREAD = 3;
 
@@ -159,6 +164,12 @@
     });
   }
 
+  /** How evenly the load lies, for the log. */
+  summarize(context: PlanContext): BalanceSummary | undefined {
+    const candidates = this.#listCandidates(context);
+    return summarizeBalance(this.#list, candidates, context.load);
+  }
+
   /** Ranges as they are after the changes; nothing is sent for them yet. */
   preview(
     changes: readonly OwnerChange[],
