--- a/packages/gateway/src/client_call.ts
+++ b/packages/gateway/src/client_call.ts
@@ -59,7 +59,10 @@
     this.arrivedMs = options.nowMs;
     this.#isClosing = options.isClosing;
     const { timeoutMs } = options.route;
-    const allowedMs = Math.min(options.facts.deadlineMs ?? timeoutMs, timeoutMs);
+    const allowedMs = Math.min(
+      options.facts.deadlineMs ?? timeoutMs,
+      timeoutMs,
+    );
     this.deadlineMs = options.nowMs + allowedMs;
     this.#timer = setTimeout(
       () => this.onTimeout(),
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -64,7 +64,11 @@
 type Attempt =
   | { readonly server: ServerEntry }
   | { readonly refusal: Refusal }
-  | { readonly room: string; readonly waitMs: number; readonly reason: RefusalReason };
+  | {
+    readonly room: string;
+    readonly waitMs: number;
+    readonly reason: RefusalReason;
+  };
 
 /** Places requests with the servers that may run them. */
 export class Placer {
@@ -74,7 +78,11 @@
   readonly #room = WaitingRoom.create({ capacity: MAX_WAITING });
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(knowledge: Knowledge, stats: StatsBook, options: { zone: string }) {
+  constructor(
+    knowledge: Knowledge,
+    stats: StatsBook,
+    options: { zone: string },
+  ) {
     this.#knowledge = knowledge;
     this.#stats = stats;
     this.#zone = options.zone;
@@ -101,14 +109,20 @@
   /** Finds a server; waits for one if that pays. */
   find(call: ClientCall, options: PlaceOptions): Promise<Placement> {
     const nowMs = performance.now();
-    const attempt = this.#attempt(call, { ...options, nowMs, ahead: undefined });
+    const attempt = this.#attempt(call, {
+      ...options,
+      nowMs,
+      ahead: undefined,
+    });
     if (options.notBeforeMs <= nowMs) {
       if ("server" in attempt) return Promise.resolve(this.#take(attempt));
       if ("refusal" in attempt) return Promise.resolve(attempt.refusal);
     }
-    const wait = "waitMs" in attempt
-      ? attempt
-      : { room: "later", waitMs: MOVE_WAIT_MS, reason: RefusalReason.Overloaded };
+    const wait = "waitMs" in attempt ? attempt : {
+      room: "later",
+      waitMs: MOVE_WAIT_MS,
+      reason: RefusalReason.Overloaded,
+    };
     return this.#wait(call, { ...options, nowMs, ...wait });
   }
 
@@ -135,7 +149,8 @@
         deadlineMs: call.deadlineMs,
         untilMs: Math.max(options.notBeforeMs, options.nowMs + options.waitMs),
         notBeforeMs: options.notBeforeMs,
-        tryPlace: (nowMs) => this.#tryPlace(call, { ...options, nowMs, resolve }),
+        tryPlace: (nowMs) =>
+          this.#tryPlace(call, { ...options, nowMs, resolve }),
         giveUp: () => refuse(options.reason),
       };
       call.onClientLeft = () => {
--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -102,7 +102,9 @@
   load: KeyLoad,
 ): readonly Seat[] {
   const seats = new Map(
-    candidates.map((c) => [c.id, { candidate: c, load: 0, ranges: [] } as Seat]),
+    candidates.map((
+      c,
+    ) => [c.id, { candidate: c, load: 0, ranges: [] } as Seat]),
   );
   for (const a of assignments) {
     const seat = a.owner ? seats.get(a.owner.id) : undefined;
--- a/packages/ranges/test/ownership_model.ts
+++ b/packages/ranges/test/ownership_model.ts
@@ -272,7 +272,10 @@
         : ServerState.Ready,
       sequence: 1,
     }));
-    const changes: ServerChange[] = entries.map((e) => ({ id: e.id, entry: e }));
+    const changes: ServerChange[] = entries.map((e) => ({
+      id: e.id,
+      entry: e,
+    }));
     return ServerView.create([]).apply(changes, 1);
   }
 
@@ -306,7 +309,9 @@
 
   #considerClaim(router: ModelRouter): void {
     const isNobody = !this.#routers.some((r) => r.isUp && r.keeper);
-    if (!router.hasStore || !this.#chance(isNobody ? 0.2 : FAULTS.claim)) return;
+    if (!router.hasStore || !this.#chance(isNobody ? 0.2 : FAULTS.claim)) {
+      return;
+    }
     const text = this.#log.at(-1);
     const record = text === undefined ? undefined : decodeRecord(text);
     const predecessors = record
@@ -380,10 +385,16 @@
     const finish = (end: LeaseCallEnd) =>
       keeper?.observe(call, { end }, this.nowMs);
     if (router.cut.has(server.id) || !server.isUp) {
-      return this.#later(400, () => this.#whenAwake(router, () => finish(LeaseCallEnd.NotSent)));
+      return this.#later(
+        400,
+        () => this.#whenAwake(router, () => finish(LeaseCallEnd.NotSent)),
+      );
     }
     if (call.kind === LeaseCallKind.Probe) {
-      return this.#later(STEP_MS, () => this.#whenAwake(router, () => finish(LeaseCallEnd.Done)));
+      return this.#later(
+        STEP_MS,
+        () => this.#whenAwake(router, () => finish(LeaseCallEnd.Done)),
+      );
     }
     const arrivedMs = this.nowMs;
     const life = server.born;
@@ -395,13 +406,20 @@
     };
     if (this.#chance(FAULTS.applyLate)) {
       this.#later(this.#span(2_000, 12_000), apply);
-      return this.#later(CALL_TIMEOUT_MS, () => this.#whenAwake(router, () => finish(LeaseCallEnd.Unknown)));
+      return this.#later(
+        CALL_TIMEOUT_MS,
+        () => this.#whenAwake(router, () => finish(LeaseCallEnd.Unknown)),
+      );
     }
     const end = apply();
     const isLost = end === undefined || this.#chance(FAULTS.loseAnswer);
     this.#later(
       isLost ? CALL_TIMEOUT_MS : STEP_MS,
-      () => this.#whenAwake(router, () => finish(isLost ? LeaseCallEnd.Unknown : end)),
+      () =>
+        this.#whenAwake(
+          router,
+          () => finish(isLost ? LeaseCallEnd.Unknown : end),
+        ),
     );
   }
 
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -13,11 +13,13 @@
 const root = new URL("..", import.meta.url).pathname;
 
 function listTests(filters) {
-  return readdirSync(join(root, "packages")).flatMap((name) => {
-    const dir = join(root, "packages", name, "dist", "test");
+  const folders = readdirSync(join(root, "packages"))
+    .map((name) => join(root, "packages", name));
+  return [...folders, join(root, "platform")].flatMap((folder) => {
+    const dir = join(folder, "dist", "test");
     if (!existsSync(dir)) return [];
     // The build leaves the output of a test that was deleted since.
-    const source = join(root, "packages", name, "test");
+    const source = join(folder, "test");
     return readdirSync(dir).filter((f) =>
       f.endsWith("_test.js") &&
       existsSync(join(source, f.replace(/\.js$/, ".ts")))
