--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,8 +1,12 @@
 #!/bin/sh
-# Builds the gateway into one file, target/gateway.mjs.
+# Builds the gateway into one file, target/gateway.mjs. Types and tests are
+# checked by the project's own build, not here.
 set -e
 [ -d node_modules/esbuild ] || npm ci --silent
-npx tsc -b platform
-npx esbuild platform/dist/src/main.js --bundle --platform=node --format=esm \
-  --target=node20 --outfile=target/gateway.mjs --log-level=warning --minify-syntax \
+for name in gateway kernel model placement ranges routing; do
+  aliases="$aliases --alias:@jaytiller/$name=./packages/$name/src/mod.ts"
+done
+npx esbuild platform/src/main.ts --bundle --platform=node --format=esm \
+  --target=node20 --outfile=target/gateway.mjs --log-level=warning \
+  --minify-syntax $aliases \
   --banner:js='import { createRequire } from "node:module"; const require = createRequire(import.meta.url);'
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -3,6 +3,7 @@
   type Admission,
   computeRetryAfter,
   decideAdmission,
+  estimateTime,
   rankServers,
   Verdict,
   type Waiter,
@@ -205,15 +206,16 @@
       return refuse(RefusalReason.OwnerSilent, SILENT_RETRY_MS);
     }
     const room = `server/${server.id}`;
+    const assumedMs = this.#stats.computeMeanServiceMs(
+      this.#knowledge.servers.listService(service.name),
+    );
+    const candidate = { entry: server, stats };
     const admission = decideAdmission({
       hasRoom: stats.inFlight < stats.limit,
       ahead: options.ahead ?? this.#room.countAhead(room, call.route.priority),
       limit: stats.limit,
-      serviceMs: stats.getServiceMs(
-        this.#stats.computeMeanServiceMs(
-          this.#knowledge.servers.listService(service.name),
-        ),
-      ),
+      serviceMs: stats.getServiceMs(assumedMs),
+      expectedMs: estimateTime(candidate, { nowMs, assumedMs }),
       leftMs,
       targetMs: call.route.targetMs,
     });
@@ -251,6 +253,9 @@
       ahead: options.ahead ?? this.#room.countAhead(room, call.route.priority),
       limit: heard.reduce((sum, c) => sum + c.stats.limit, 0),
       serviceMs,
+      expectedMs: ranked[0]
+        ? estimateTime(ranked[0], { nowMs, assumedMs: serviceMs })
+        : serviceMs,
       leftMs,
       targetMs: call.route.targetMs,
     });
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -24,6 +24,8 @@
   readonly limit: number;
   /** Time of one request, ms. */
   readonly serviceMs: number;
+  /** Time until the answer if the request is sent now, ms. */
+  readonly expectedMs: number;
   /** Time until the client's deadline or the route's, ms. */
   readonly leftMs: number;
   /** Time within which an answer has its full worth, ms. */
@@ -38,11 +40,18 @@
 
 /** A request waits for at most this share of the time it has left. */
 const WAIT_SHARE = 0.4;
+/** Work that takes this share of the expected time is not unusual. */
+const HOPELESS_SHARE = 0.6;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 1_000;
 
 /** Decides on one request. */
 export function decideAdmission(facts: AdmissionFacts): Admission {
+  // A server would work in vain for a request that it cannot end in time.
+  if (facts.expectedMs * HOPELESS_SHARE > facts.leftMs) {
+    const retryAfterMs = computeRetryAfter(facts.expectedMs - facts.serviceMs);
+    return { verdict: Verdict.Refuse, retryAfterMs };
+  }
   if (facts.hasRoom && facts.ahead === 0) return admit(Verdict.Send);
   const waitMs = (facts.ahead + 1) * facts.serviceMs / facts.limit;
   const bound = Math.min(WAIT_SHARE * facts.leftMs, facts.targetMs);
--- a/packages/placement/src/server_choice.ts
+++ b/packages/placement/src/server_choice.ts
@@ -30,6 +30,8 @@
   readonly random: () => number;
 }
 
+/** A server with all slots in use is slower by this share. */
+const FULL_SLOWDOWN = 0.3;
 /** Added to the estimate of a server in another zone, ms. */
 const OTHER_ZONE_MS = 40;
 /** The same for each KB that the request moves, ms. */
@@ -56,16 +58,24 @@
     stats.inFlight < stats.limit;
 }
 
-/** Estimated time until an answer of the server, with its price, ms. */
-export function estimateCost(
+/** Estimated time until an answer of the server, ms. */
+export function estimateTime(
   { entry, stats }: Candidate,
-  context: ChoiceContext,
+  { nowMs, assumedMs }: { nowMs: number; assumedMs: number },
 ): number {
-  const serviceMs = stats.getServiceMs(context.assumedMs);
-  const occupancy = stats.estimateOccupancy(context.nowMs);
+  const serviceMs = stats.getServiceMs(assumedMs);
+  const occupancy = stats.estimateOccupancy(nowMs);
   const ahead = Math.max(0, occupancy + 1 - entry.slots);
   const use = Math.min(1, occupancy / entry.slots);
-  const time = serviceMs * (1 + 0.3 * use + ahead / entry.slots);
+  return serviceMs * (1 + FULL_SLOWDOWN * use + ahead / entry.slots);
+}
+
+/** The same with what failures and bytes between zones weigh, ms. */
+export function estimateCost(
+  { entry, stats }: Candidate,
+  context: ChoiceContext,
+): number {
+  const time = estimateTime({ entry, stats }, context);
   const failures = FAILURE_MS * stats.getFailures(context.nowMs);
   const distance = entry.zone === context.zone
     ? 0
--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -20,6 +20,8 @@
 export interface BalanceOptions {
   readonly nowMs: number;
   readonly maxMoves: number;
+  /** Whether ranges may be cut; otherwise only whole ones move. */
+  readonly mayCut: boolean;
 }
 
 /** Below this share of its capacity a server is left alone. */
@@ -160,7 +162,7 @@
   let bestLoad = Math.max(MIN_SHARE * busy.load, 1e-3);
   for (const range of busy.ranges) {
     if (!isMovable(range, options.nowMs)) continue;
-    for (const [from, to] of listPieces(range, wanted, options.load)) {
+    for (const [from, to] of listPieces(range, wanted, options)) {
       const load = options.load.sum(from, to);
       if (load <= bestLoad) continue;
       bestLoad = load;
@@ -183,9 +185,10 @@
 function listPieces(
   { from, to }: Assignment,
   wanted: number,
-  load: KeyLoad,
+  { load, mayCut }: BalanceOptions & { load: KeyLoad },
 ): readonly (readonly [number, number])[] {
   if (load.sum(from, to) <= wanted) return [[from, to]];
+  if (!mayCut) return [];
   const end = load.findEnd(from, to, wanted);
   const start = load.findStart(from, to, wanted);
   return ([[from, end], [start, to]] as const).filter(([a, z]) => a <= z);
--- a/packages/ranges/src/key_load.ts
+++ b/packages/ranges/src/key_load.ts
@@ -1,12 +1,17 @@
 /** Requests per second and key, as routers report them. @module */
 import { KEY_COUNT } from "@jaytiller/routing";
 
+/** A shorter time says nothing about rates, ms. */
+const MIN_AGE_MS = 500;
+
 /** Rates that follow new counts within a few seconds. */
 export class KeyLoad {
   readonly #rates = new Float64Array(KEY_COUNT);
   readonly #sums = new Float64Array(KEY_COUNT + 1);
   readonly #timeConstantMs: number;
   #at = 0;
+  #firstAt: number | undefined;
+  #correction = 1;
 
   private constructor(timeConstantMs: number) {
     this.#timeConstantMs = timeConstantMs;
@@ -22,8 +27,14 @@
     this.#rates[key] = (this.#rates[key] ?? 0) + perMs * 1000;
   }
 
-  /** Lets old counts fade and makes the sums anew. */
+  /**
+   * Lets old counts fade and makes the sums anew. Rates are right from the
+   * start: what a short time has shown is taken for the whole.
+   */
   advance(nowMs: number): void {
+    this.#firstAt ??= nowMs;
+    const ageMs = Math.max(MIN_AGE_MS, nowMs - this.#firstAt);
+    this.#correction = 1 / (1 - Math.exp(-ageMs / this.#timeConstantMs));
     const factor = Math.exp(-(nowMs - this.#at) / this.#timeConstantMs);
     this.#at = nowMs;
     let sum = 0;
@@ -34,11 +45,13 @@
       sum += rate;
     }
     this.#sums[KEY_COUNT] = sum;
+    // The time before the first request is no time of low load.
+    if (sum === 0) this.#firstAt = nowMs;
   }
 
   /** Requests per second for keys `from` to `to`, as of the last advance. */
   sum(from: number, to: number): number {
-    return this.#sums[to + 1]! - this.#sums[from]!;
+    return (this.#sums[to + 1]! - this.#sums[from]!) * this.#correction;
   }
 
   /** Last key up to which keys from `from` on have at most `rate`. */
--- a/packages/ranges/src/range_keeper.ts
+++ b/packages/ranges/src/range_keeper.ts
@@ -53,9 +53,11 @@
 /** Calls in a row without an answer after which a server is suspected. */
 const SUSPECT_AFTER = 2;
 /** Most moves for the sake of load that are begun in one plan. */
-const MAX_MOVES = 6;
+const MAX_MOVES = 10;
 /** A lost server's range is spread over this many servers at the most. */
 const MAX_SPREAD = 3;
+/** Ranges are cut as long as there are fewer for each server. */
+const MAX_RANGES_PER_SERVER = 6;
 
 /** What a successor knows of the leases that were given before it. */
 export interface RestoreOptions {
@@ -160,10 +162,16 @@
     return planBalance(this.#list, candidates, {
       nowMs: context.nowMs,
       maxMoves: MAX_MOVES,
+      mayCut: this.#mayCut(candidates.length),
       load: context.load,
     });
   }
 
+  /** Each range is renewed by a call of its own: their number is bounded. */
+  #mayCut(servers: number): boolean {
+    return this.#list.length < MAX_RANGES_PER_SERVER * servers;
+  }
+
   /** How evenly the load lies, for the log. */
   summarize(context: PlanContext): BalanceSummary | undefined {
     const candidates = this.#listCandidates(context);
@@ -194,6 +202,7 @@
   /** Calls that are due; each has to be followed by `observe`. */
   listCalls(nowMs: number, view: ServerView): readonly LeaseCall[] {
     this.#dropFormer(nowMs, view);
+    this.#forgetCalls(nowMs);
     const calls = this.#list.flatMap((a) => this.#listRangeCalls(a, view))
       .filter((c) => (this.#next.get(nameCall(c)) ?? 0) <= nowMs);
     const due = [...calls, ...this.#listProbes(nowMs, view)]
@@ -256,9 +265,13 @@
       loads.set(a.owner!.id, known + context.load.sum(a.from, a.to));
     }
     const changes: OwnerChange[] = [];
+    const mayCut = this.#mayCut(candidates.length);
     for (const a of this.#list) {
       if (!this.#needsOwner(a, context)) continue;
-      for (const [from, to] of spread(a, context.load)) {
+      const pieces = mayCut
+        ? spread(a, context.load)
+        : [[a.from, a.to] as const];
+      for (const [from, to] of pieces) {
         const owner = chooseIdle(candidates, loads);
         const load = context.load.sum(from, to) + 1e-3 * (to - from + 1);
         loads.set(owner.id, (loads.get(owner.id) ?? 0) + load);
@@ -308,6 +321,14 @@
     });
   }
 
+  /** Times of calls for ranges that are no more are of no use. */
+  #forgetCalls(nowMs: number): void {
+    if (this.#next.size < 20 * this.#list.length) return;
+    for (const [name, atMs] of this.#next) {
+      if (atMs < nowMs - this.#times.holdMs) this.#next.delete(name);
+    }
+  }
+
   #listRangeCalls(a: Assignment, view: ServerView): readonly LeaseCall[] {
     if (a.former.length > 0) {
       return a.former.flatMap((f) => this.#makeReleases(a, f, view));
--- /dev/null
+++ b/packages/routing/test/routing_test.ts
@@ -0,0 +1,116 @@
+/** Routes, splits and the view of servers. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type Configuration,
+  RequestKind,
+  type Route,
+  RouteTable,
+  type ServerEntry,
+  ServerState,
+  ServerView,
+  SplitChooser,
+} from "../src/mod.js";
+
+function makeRoute(name: string, prefix: string): Route {
+  return {
+    name,
+    host: "a.example",
+    prefix,
+    kind: RequestKind.Idempotent,
+    timeoutMs: 1_000,
+    targetMs: 500,
+    maxAttempts: 2,
+    priority: 0,
+    targets: [{ service: "s", weight: 1 }],
+  };
+}
+
+const CONFIGURATION: Configuration = {
+  version: 3,
+  routes: [makeRoute("root", "/a/"), makeRoute("deep", "/a/b/")],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+};
+
+const MATCHES: readonly (readonly [string, string, string | undefined])[] = [
+  ["a.example", "/a/x", "root"],
+  ["a.example", "/a/b/x?q=/a/b/c/", "deep"],
+  ["A.Example:8080", "/a/", "root"],
+  ["a.example", "/a/bc", "root"],
+  ["a.example", "/ab/", undefined],
+  ["a.example", "/a", undefined],
+  ["b.example", "/a/x", undefined],
+];
+
+for (const [host, target, name] of MATCHES) {
+  test(`route of ${host}${target}: ${name ?? "none"}`, () => {
+    const table = RouteTable.create(CONFIGURATION);
+    assert.equal(table.match(host, target)?.name, name);
+  });
+}
+
+test("a split keeps its proportion over short runs", () => {
+  const chooser = new SplitChooser();
+  const targets = [{ service: "x", weight: 90 }, { service: "y", weight: 10 }];
+  const route = { ...makeRoute("r", "/"), targets };
+  const chosen = Array.from({ length: 50 }, () => chooser.choose(route));
+  assert.equal(chosen.filter((s) => s === "y").length, 5);
+});
+
+function makeEntry(entry: Partial<ServerEntry>): ServerEntry {
+  return {
+    id: "i-1",
+    born: 10,
+    service: "s",
+    address: "h:1",
+    zone: "z",
+    slots: 2,
+    state: ServerState.Ready,
+    sequence: 5,
+    ...entry,
+  };
+}
+
+interface ViewCase {
+  readonly guards: string;
+  readonly entry: Partial<ServerEntry>;
+  readonly isTaken: boolean;
+}
+
+const NEWS: readonly ViewCase[] = [
+  {
+    guards: "a report of an earlier life brings a dead server back",
+    entry: { born: 9, sequence: 80, state: ServerState.Draining },
+    isTaken: false,
+  },
+  {
+    guards: "an older report of this life undoes a newer one",
+    entry: { sequence: 4, state: ServerState.Draining },
+    isTaken: false,
+  },
+  {
+    guards: "a new life under the same id is missed as its count is low",
+    entry: { born: 11, sequence: 1, state: ServerState.Draining },
+    isTaken: true,
+  },
+  {
+    guards: "a newer report of this life is missed",
+    entry: { sequence: 6, state: ServerState.Draining },
+    isTaken: true,
+  },
+];
+
+for (const { guards, entry, isTaken } of NEWS) {
+  test(`view of servers, guards against: ${guards}`, () => {
+    const view = ServerView.create([makeEntry({})])
+      .apply([{ id: "i-1", entry: makeEntry(entry) }], 1);
+    const isDraining = view.find("i-1")?.state === ServerState.Draining;
+    assert.equal(isDraining, isTaken);
+  });
+}
