gateway: Count requests by route, service and outcome; bind ports in one place

Cause: metrics had gauges only; three classes bound their ports with the same lines and three modules had the same pause.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -22,6 +22,7 @@
 import type { FeedReader } from "./feed_reader.js";
 import type { Knowledge } from "./knowledge.js";
 import { MemberLink } from "./member_link.js";
+import { pause } from "./pause.js";
 import { PauseDetector } from "./pause_detector.js";
 import { PeerFailure } from "./peer_link.js";
 import { type LeaseTransport, type PlatformStore, StoreEnd } from "./ports.js";
@@ -561,7 +562,3 @@
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -19,6 +19,7 @@
 import type { Placer, Refusal } from "./placer.js";
 import { RefusalReason } from "./placer.js";
 import type { RequestFacts, RequestProtocol } from "./ports.js";
+import type { RequestMetrics } from "./request_metrics.js";
 import { BodyEnd, readBody } from "./request_body.js";
 import type { ServerAgents } from "./server_agents.js";
 import type { GatewaySettings } from "./settings.js";
@@ -33,6 +34,7 @@
   readonly agents: ServerAgents;
   readonly protocol: RequestProtocol;
   readonly log: EventLog;
+  readonly metrics: RequestMetrics;
   /** Number of routers that share the retry budget. */
   readonly countRouters: () => number;
 }
@@ -295,11 +297,15 @@
   /** Forgets routes that are gone. */
   keepRoutes(routes: readonly Route[]): void {
     this.#splits.keep(routes);
+    const names = new Set(routes.map((r) => r.name));
+    this.#parts.metrics.keepRoutes((name) => names.has(name));
   }
 
   #log(call: ClientCall, outcome: string, result?: ExchangeResult): void {
-    const { knowledge, log } = this.#parts;
+    const { knowledge, log, metrics } = this.#parts;
     const nowMs = performance.now();
+    const labels = { route: call.route.name, service: call.service, outcome };
+    metrics.count(labels, nowMs - call.arrivedMs);
     const isGood = outcome === "answered" && (call.status ?? 500) < 400;
     log.write("request", {
       request: call.facts.attemptId,
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -4,6 +4,8 @@
 import type { EventLog } from "@jaytiller/kernel";
 import type { Dispatcher } from "./dispatcher.js";
 import { type Knowledge, KnowledgePart } from "./knowledge.js";
+import { pause } from "./pause.js";
+import { bindServer } from "./listen.js";
 import type { ListenAddress } from "./settings.js";
 
 /** Largest header of a request, bytes; configured limits are below it. */
@@ -12,7 +14,6 @@
 const FIRST_IDLE_MS = 60_000;
 /** A connection stays open for this share of the configured idle time. */
 const IDLE_FACTOR = 1.1;
-const BACKLOG = 1_024;
 const STOP_POLL_MS = 50;
 
 /** The port for clients. */
@@ -57,24 +58,12 @@
     });
   }
 
-  get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" && address ? address.port : 0;
-  }
-
   get connections(): number {
     return this.#sockets.size;
   }
 
   start(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      const { host, port } = this.#listen;
-      this.#server.listen({ host, port, backlog: BACKLOG }, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+    return bindServer(this.#server, this.#listen);
   }
 
   /**
@@ -106,10 +95,6 @@
   }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function formatError(error: unknown): string {
   return error instanceof Error ? error.stack ?? error.message : String(error);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
   PlatformStore,
   RequestProtocol,
 } from "./ports.js";
+import { RequestMetrics } from "./request_metrics.js";
 import { ServerAgents } from "./server_agents.js";
 import type { GatewaySettings } from "./settings.js";
 import { StatsBook } from "./stats_book.js";
@@ -50,6 +51,7 @@
   readonly #knowledge = new Knowledge();
   readonly #stats = new StatsBook();
   readonly #agents = new ServerAgents();
+  readonly #metrics = new RequestMetrics();
   readonly #member: Member;
   readonly #front: Front;
   readonly #placer: Placer;
@@ -96,6 +98,7 @@
       agents: this.#agents,
       protocol,
       log,
+      metrics: this.#metrics,
       countRouters: () => this.#member.routerCount,
     });
     this.#front = new Front({
@@ -200,7 +203,8 @@
       ["jaytiller_term", this.#member.term],
       ["jaytiller_routers", this.#member.routerCount],
     ];
-    return values.map(([name, value]) => `${name} ${value}\n`).join("");
+    const gauges = values.map(([name, value]) => `${name} ${value}\n`);
+    return gauges.join("") + this.#metrics.format();
   }
 }
 
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -18,6 +18,7 @@
 import type { Claim } from "./coordinator.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { Knowledge } from "./knowledge.js";
+import { pause } from "./pause.js";
 import { PeerFailure, PeerFailureKind, PeerLink } from "./peer_link.js";
 import { type OwnershipEntry, type PlatformStore, StoreEnd } from "./ports.js";
 import type { StatsBook } from "./stats_book.js";
@@ -436,7 +437,3 @@
   return items.map((item) => ({ item, at: Math.random() }))
     .sort((a, b) => a.at - b.at).map(({ item }) => item);
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/gateway/src/peer_link.ts
+++ b/packages/gateway/src/peer_link.ts
@@ -6,6 +6,7 @@
   type JSONRPCResponse,
   JSONRPCServer,
 } from "json-rpc-2.0";
+import { bindServer } from "./listen.js";
 import type { ListenAddress } from "./settings.js";
 
 /** Methods by name; each takes one object and returns one. */
@@ -32,20 +33,8 @@
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
-  /** Port that the server listens on. */
-  get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" && address ? address.port : 0;
-  }
-
   start(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#listen.port, this.#listen.host, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+    return bindServer(this.#server, this.#listen);
   }
 
   stop(): void {
--- a/packages/gateway/src/status_server.ts
+++ b/packages/gateway/src/status_server.ts
@@ -1,5 +1,6 @@
 /** Readiness and metrics over HTTP. @module */
 import { createServer, type Server } from "node:http";
+import { bindServer } from "./listen.js";
 import type { ListenAddress } from "./settings.js";
 
 /** An answer: a status and a text. */
@@ -30,19 +31,8 @@
     });
   }
 
-  get port(): number {
-    const address = this.#server.address();
-    return typeof address === "object" && address ? address.port : 0;
-  }
-
   start(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#listen.port, this.#listen.host, () => {
-        this.#server.removeListener("error", reject);
-        resolve();
-      });
-    });
+    return bindServer(this.#server, this.#listen);
   }
 
   stop(): void {
