gateway: Let news of servers follow on the view that they were read for

Cause: after an outage of the store in which entries had run out, a router that looked for itself read the feed from its own last position, which lay behind the view that beats had given it since. The page held the removals and the returns; as changes were tested against the view before the page, the returns were taken for old reports and only the removals applied. All servers were gone until the store let entries run out again: no service answered from 20 to 34 s. The coordinator did not send the servers again, as its next news followed on what it had told. Ruled out: a claimant that takes lapsed entries for gone (that lasts about two seconds, not fourteen).

A second cause was found beside it: removals were held back for 2.2 s after any failed read, also where the store refused one router only, so that a server that left unannounced was used for more than 2 s (DRAIN).

Change: changes of a page are applied one after the other; a router whose view was moved on by beats reads the newest state; news of the coordinator are only taken on the view that they follow on, and the answer asks for all otherwise. Removals are held back only after a gap in which entries can have run out, 1.9 heartbeats. A silent coordinator is not waited for before the feeds are read; one that has lost the store is replaced after 1 s, not 2 s.

--- a/packages/gateway/src/feed_reader.ts
+++ b/packages/gateway/src/feed_reader.ts
@@ -15,15 +15,20 @@
   readonly #store: PlatformStore;
   readonly #knowledge: Knowledge;
   readonly #log: EventLog;
-  readonly #lapses = new LapseGuard();
+  readonly #lapses: LapseGuard;
   #configurationPosition: number | undefined;
   #serversPosition: number | undefined;
   #isServersLost = false;
 
-  constructor(store: PlatformStore, knowledge: Knowledge, log: EventLog) {
+  constructor(
+    store: PlatformStore,
+    knowledge: Knowledge,
+    options: { log: EventLog; heartbeatMs: number },
+  ) {
     this.#store = store;
     this.#knowledge = knowledge;
-    this.#log = log;
+    this.#log = options.log;
+    this.#lapses = new LapseGuard(options.heartbeatMs);
   }
 
   /** Whether missing servers may still come back after an outage. */
@@ -55,10 +60,17 @@
     return true;
   }
 
-  /** Reads what has changed of the servers. */
+  /**
+   * Reads what has changed of the servers. News follow on the view that they
+   * were read for: once the coordinator has moved the view on, all is read
+   * anew, as it may hold changes back that the feed does not show again.
+   */
   async readServers(): Promise<boolean> {
+    const knowledge = this.#knowledge;
     const sentAt = performance.now();
-    const position = this.#serversPosition;
+    const position = this.#serversPosition === knowledge.servers.position
+      ? this.#serversPosition
+      : undefined;
     const result = await this.#store.readServers({
       ...(position === undefined ? {} : { position }),
       waitMs: 0,
@@ -66,13 +78,24 @@
     const page = this.#take(result);
     this.#noteServers(page !== undefined, result.problem);
     if (!page) return false;
+    this.#takeServers(page, sentAt);
+    return true;
+  }
+
+  #takeServers(page: FeedPage<ServerChange>, sentAt: number): void {
+    const knowledge = this.#knowledge;
+    const nowMs = performance.now();
+    this.#lapses.noteRead({ gapMs: sentAt - knowledge.serversAt, nowMs });
+    // The coordinator's news came meanwhile, and are newer.
+    if (page.position < knowledge.servers.position) {
+      return knowledge.confirmServers(sentAt);
+    }
     this.#serversPosition = page.position;
     const changes = page.isSnapshot ? this.#addMissing(page) : page.items;
-    this.#knowledge.applyServers(
-      this.#lapses.filter(changes, this.#knowledge.servers, performance.now()),
+    knowledge.applyServers(
+      this.#lapses.filter(changes, knowledge.servers, nowMs),
       { position: page.position, atMs: sentAt },
     );
-    return true;
   }
 
   /** Servers that are not in a snapshot are gone. */
@@ -88,7 +111,6 @@
   }
 
   #noteServers(isRead: boolean, problem: string | undefined): void {
-    if (!isRead) this.#lapses.noteFailure();
     if (isRead !== this.#isServersLost) return;
     this.#isServersLost = !isRead;
     this.#log.record(isRead ? "storeRegained" : "storeLost", { problem });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,7 +67,10 @@
     const knowledge = this.#knowledge;
     const stats = this.#stats;
     const self = makeSelf(settings);
-    const reader = new FeedReader(store, knowledge, log);
+    const reader = new FeedReader(store, knowledge, {
+      log,
+      heartbeatMs: settings.serverHeartbeatMs,
+    });
     const times = makeTimes(settings);
     this.#member = new Member({
       self,
--- a/packages/gateway/src/lapse_guard.ts
+++ b/packages/gateway/src/lapse_guard.ts
@@ -13,20 +13,36 @@
 
 /** Servers that live are back within this time of the store's return, ms. */
 const RETURN_MS = 2_200;
+/**
+ * Heartbeats that a server has to miss before its entry can run out. An entry
+ * lives for three; the last one may be almost one old as the store goes away.
+ */
+const MISSED_HEARTBEATS = 1.9;
 
 /** Holds removals back for a while after the store was away. */
 export class LapseGuard {
+  readonly #heartbeatMs: number;
   readonly #held = new Map<string, number>();
   #returnedAt = -Infinity;
-  #isAway = false;
 
-  noteFailure(): void {
-    this.#isAway = true;
+  /** `heartbeatMs`: time between two heartbeats of a server. */
+  constructor(heartbeatMs: number) {
+    this.#heartbeatMs = heartbeatMs;
+  }
+
+  /**
+   * Takes note of a read. `gapMs` is the age of what was known before it: a
+   * store that was away for a shorter time has let no entry run out, so what
+   * is missing then is gone.
+   */
+  noteRead(options: { gapMs: number; nowMs: number }): void {
+    if (options.gapMs < MISSED_HEARTBEATS * this.#heartbeatMs) return;
+    this.#returnedAt = options.nowMs;
   }
 
   /** Whether an entry that is missing may be that of a living server. */
   isSettling(nowMs: number): boolean {
-    return this.#isAway || nowMs - this.#returnedAt < RETURN_MS;
+    return nowMs - this.#returnedAt < RETURN_MS;
   }
 
   /** Returns the changes that take effect now. */
@@ -35,10 +51,6 @@
     view: ServerView,
     nowMs: number,
   ): readonly ServerChange[] {
-    if (this.#isAway) {
-      this.#isAway = false;
-      this.#returnedAt = nowMs;
-    }
     const passed = changes.filter((c) => !this.#holdBack(c, view, nowMs));
     return [...passed, ...this.#takeOverdue(nowMs)];
   }
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -7,6 +7,7 @@
   OwnerTable,
   type RouterRef,
 } from "@jaytiller/ranges";
+import type { ServerView } from "@jaytiller/routing";
 import {
   type Beat,
   type BeatAnswer,
@@ -47,10 +48,10 @@
 /** Routers that are asked whether they hear the coordinator. */
 const WITNESSES = 3;
 /** Later candidates give earlier ones this much time, ms. */
-const RANK_MS = 120;
+const RANK_MS = 60;
 const MAX_RANK = 8;
 /** A coordinator that has not read the store for so long has lost it, ms. */
-const STORE_LOST_MS = 2_000;
+const STORE_LOST_MS = 1_000;
 /** A store that answers a router within this time serves it, ms. */
 const QUICK_STORE_MS = 400;
 
@@ -73,6 +74,8 @@
   #routerCount = 1;
   #heardAt = -Infinity;
   #serversNumber = 0;
+  /** The view as of the coordinator's last news of servers. */
+  #serversTold: ServerView | undefined;
   #ownersNumber = 0;
   #leading: Coordinator | undefined;
   #isLooking = false;
@@ -139,13 +142,19 @@
       term: this.#term,
       router: self,
       version: knowledge.routes?.version ?? 0,
-      serversNumber: this.#serversNumber,
+      serversNumber: this.#getServersNumber(),
       ownersNumber: this.#ownersNumber,
       keys: stats.takeKeyCounts(KEYS_IN_REPORT),
       times: stats.takeServiceTimes(),
     };
   }
 
+  /** News follow on the view that they were sent for, not on our own reads. */
+  #getServersNumber(): number {
+    const isSame = this.#parts.knowledge.servers === this.#serversTold;
+    return isSame ? this.#serversNumber : 0;
+  }
+
   #follow(beat: Beat): void {
     const { knowledge, log } = this.#parts;
     const nowMs = performance.now();
@@ -179,7 +188,8 @@
     if (!servers) return knowledge.confirmServers(atMs);
     // What this router has read itself may be newer.
     if (beat.serversPosition < knowledge.servers.position) return;
-    if (servers.base !== 0 && servers.base !== this.#serversNumber) return;
+    const isNext = servers.base === this.#getServersNumber();
+    if (servers.base !== 0 && !isNext) return;
     const listed = new Set(servers.items.map((c) => c.id));
     const missing = servers.base === 0
       ? knowledge.servers.list().filter((e) => !listed.has(e.id))
@@ -189,6 +199,7 @@
       { position: beat.serversPosition, atMs },
     );
     this.#serversNumber = servers.number;
+    this.#serversTold = knowledge.servers;
   }
 
   #takeOwners({ owners, term }: Beat): void {
@@ -218,7 +229,8 @@
     if (this.#leading || this.#isLooking || this.#hasStopped) return;
     const nowMs = performance.now();
     const isSilent = nowMs - this.#heardAt > SILENT_MS;
-    const isStale = nowMs - this.#parts.knowledge.serversAt > STALE_MS;
+    const isStale = nowMs - this.#parts.knowledge.serversAt > STALE_MS ||
+      this.#coordinatorAgeMs > STORE_LOST_MS;
     if (nowMs < this.#nextLookMs || !isSilent && !isStale) return;
     this.#isLooking = true;
     this.#look(isSilent).catch((error: unknown) => {
@@ -232,7 +244,12 @@
   async #look(isSilent: boolean): Promise<void> {
     const startedAt = performance.now();
     this.#nextLookMs = startedAt + BEAT_MS + 200 * Math.random();
-    const newest = await this.#readRecord();
+    // The coordinator's silence may last: what it would tell is read at once.
+    const [newest] = await Promise.all([
+      this.#readRecord(),
+      this.#parts.reader.readServers(),
+      this.#parts.reader.readConfiguration(0),
+    ]);
     const tookMs = performance.now() - startedAt;
     if (!newest.isRead) {
       const pauseMs = STORE_RETRY_MS * (1 + Math.random());
@@ -243,7 +260,6 @@
       ? await this.#joinNamed(newest.record)
       : Presence.Heard;
     if (presence === Presence.Joined) return;
-    await this.#readFeeds();
     const mayLead = await this.#mayLead(presence, { newest, tookMs });
     if (mayLead && !this.#hasStopped) await this.#claim(newest);
   }
@@ -265,11 +281,6 @@
     return performance.now() - this.#heardAt < SILENT_MS;
   }
 
-  async #readFeeds(): Promise<void> {
-    await this.#parts.reader.readServers();
-    await this.#parts.reader.readConfiguration(0);
-  }
-
   async #readRecord(): Promise<NewestRecord> {
     const read = await this.#parts.store.readOwnership({ waitMs: 0 });
     if (read.end !== StoreEnd.Done || !read.value) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -27,6 +27,8 @@
   readonly retryWindowMs: number;
   /** Longest lease that servers accept, ms. */
   readonly maxHoldMs: number;
+  /** Time between two heartbeats of a backend server to the store, ms. */
+  readonly serverHeartbeatMs: number;
   /** Time from SIGTERM to SIGKILL, ms. */
   readonly stopMs: number;
 }
--- a/packages/gateway/test/lapse_guard_test.ts
+++ b/packages/gateway/test/lapse_guard_test.ts
@@ -4,6 +4,8 @@
 import { test } from "node:test";
 import { LapseGuard } from "../src/lapse_guard.js";
 
+const HEARTBEAT_MS = 1_000;
+
 function makeEntry(state: ServerState): ServerEntry {
   return {
     id: "i-1",
@@ -20,7 +22,8 @@
 interface Case {
   readonly guards: string;
   readonly state: ServerState;
-  readonly wasAway: boolean;
+  /** Age of the view before the read that shows the server missing, ms. */
+  readonly gapMs: number;
   readonly returns: boolean;
   /** Time after the store's return at which the server is gone, ms. */
   readonly goneAtMs: number | undefined;
@@ -30,38 +33,53 @@
   {
     guards: "a server that leaves on a calm day is gone at once",
     state: ServerState.Ready,
-    wasAway: false,
+    gapMs: 400,
     returns: false,
     goneAtMs: 0,
   },
   {
     guards: "a server that lives is not dropped as the store returns",
     state: ServerState.Ready,
-    wasAway: true,
+    gapMs: 5_000,
     returns: true,
     goneAtMs: undefined,
   },
   {
     guards: "a server that stays missing is gone after about two seconds",
     state: ServerState.Ready,
-    wasAway: true,
+    gapMs: 5_000,
     returns: false,
     goneAtMs: 2_200,
   },
+  {
+    guards: "a server that leaves while the store refuses one router for a " +
+      "moment is gone at once: no entry runs out in so short a time",
+    state: ServerState.Ready,
+    gapMs: 1_500,
+    returns: false,
+    goneAtMs: 0,
+  },
+  {
+    guards: "entries that run out early in an outage of two heartbeats",
+    state: ServerState.Ready,
+    gapMs: 2_000,
+    returns: true,
+    goneAtMs: undefined,
+  },
   {
     guards: "a server that had announced its end is not waited for",
     state: ServerState.Draining,
-    wasAway: true,
+    gapMs: 5_000,
     returns: false,
     goneAtMs: 0,
   },
 ];
 
-for (const { guards, state, wasAway, returns, goneAtMs } of CASES) {
+for (const { guards, state, gapMs, returns, goneAtMs } of CASES) {
   test(`lapsed entries: ${guards}`, () => {
-    const guard = new LapseGuard();
+    const guard = new LapseGuard(HEARTBEAT_MS);
     const view = ServerView.create([makeEntry(state)]);
-    if (wasAway) guard.noteFailure();
+    guard.noteRead({ gapMs, nowMs: 0 });
     let goneAt: number | undefined;
     for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
       const news = nowMs === 0 ? [{ id: "i-1" }] : [];
--- a/packages/routing/src/server_view.ts
+++ b/packages/routing/src/server_view.ts
@@ -51,17 +51,23 @@
     return new ServerView(new Map(entries.map((e) => [e.id, e])), position);
   }
 
-  /** Returns a view with the changes, or this one if they change nothing. */
+  /**
+   * Returns a view with the changes, applied one after the other, or this one
+   * if they change nothing.
+   */
   apply(changes: readonly ServerChange[], position: number): ServerView {
-    const kept = changes.filter((c) => this.#isNews(c));
-    if (kept.length === 0 && position === this.position) return this;
-    if (kept.length === 0) return new ServerView(this.#entries, position);
     const entries = new Map(this.#entries);
-    for (const { id, entry } of kept) {
-      if (entry) entries.set(id, entry);
-      else entries.delete(id);
+    let isChanged = false;
+    for (const change of changes) {
+      if (!isNews(entries.get(change.id), change)) continue;
+      isChanged = true;
+      if (change.entry) entries.set(change.id, change.entry);
+      else entries.delete(change.id);
     }
-    return new ServerView(entries, position);
+    if (isChanged) return new ServerView(entries, position);
+    return position === this.position
+      ? this
+      : new ServerView(this.#entries, position);
   }
 
   find(id: string): ServerEntry | undefined {
@@ -90,15 +96,17 @@
     }
     return changes;
   }
+}
 
-  /** A late report of an earlier life, or an older report, is no news. */
-  #isNews({ id, entry }: ServerChange): boolean {
-    const known = this.#entries.get(id);
-    if (!known) return entry !== undefined;
-    if (!entry) return true;
-    if (entry.born !== known.born) return entry.born > known.born;
-    return entry.sequence > known.sequence;
-  }
+/** A late report of an earlier life, or an older report, is no news. */
+function isNews(
+  known: ServerEntry | undefined,
+  { entry }: ServerChange,
+): boolean {
+  if (!known) return entry !== undefined;
+  if (!entry) return true;
+  if (entry.born !== known.born) return entry.born > known.born;
+  return entry.sequence > known.sequence;
 }
 
 /** Whether two entries differ in nothing but the number of the report. */
--- a/packages/routing/test/routing_test.ts
+++ b/packages/routing/test/routing_test.ts
@@ -114,3 +114,10 @@
     assert.equal(isDraining, isTaken);
   });
 }
+
+test("an entry that lapsed and came back within one page is kept", () => {
+  const returned = makeEntry({ sequence: 6 });
+  const view = ServerView.create([returned])
+    .apply([{ id: "i-1" }, { id: "i-1", entry: returned }], 2);
+  assert.deepEqual(view.find("i-1"), returned);
+});
