router: Notice bodies that stall while their request waits for a slot

Cause: a large body was watched only up to its first 64 KiB and again once its request had a slot. A caller that stopped after 200 KB was noticed one idle time after it had left the queue, so callers beyond the slots ended after 2009 to 2138 ms where 2000 ms are allowed.

Ruled out: a larger first part, which moves the size at which the same happens and holds slow callers up.

Change: the rest of a body is read ahead, up to 256 KiB, from the start; the idle time counts from the last byte, unless nobody takes the bytes.

--- a/packages/router/src/body.ts
+++ b/packages/router/src/body.ts
@@ -1,11 +1,13 @@
 /** Reads request bodies. @module */
 import type { IncomingMessage } from "node:http";
-import { Readable } from "node:stream";
+import { PassThrough, type Readable } from "node:stream";
 import { Reason } from "@jaytiller/model";
 import { BodyKind, type CallBody, makeRefusal, type Result } from "./call.js";
 
 /** Bodies up to this length are read whole, so that they can be sent again. */
 export const WHOLE_BODY_BYTES = 64 * 1024;
+/** Bytes of a larger body that are read before anyone takes them. */
+const AHEAD_BYTES = 256 * 1024;
 
 /** Limits of one request body. */
 export interface BodyLimits {
@@ -35,8 +37,7 @@
   }
   const { bytes, ended } = head;
   if (ended) return { body: { kind: BodyKind.Whole, bytes } };
-  const parts = readParts(req, { head: bytes, maxBytes: limits.maxBytes });
-  const stream = Readable.from(parts, { objectMode: false });
+  const stream = readAhead(req, { head: bytes, limits });
   return {
     body: {
       kind: BodyKind.Stream,
@@ -86,16 +87,40 @@
   });
 }
 
-/** Yields the part that was read and the rest; throws if it is too long. */
-async function* readParts(
+/**
+ * Returns a stream of the part that was read and of the rest. The rest is read
+ * ahead, so that a body that stalls is noticed also while its request waits
+ * for a slot: the request ends once no byte has come for the idle time.
+ */
+function readAhead(
   req: IncomingMessage,
-  { head, maxBytes }: { head: Buffer; maxBytes: number },
-): AsyncGenerator<Buffer> {
+  { head, limits }: { head: Buffer; limits: BodyLimits },
+): Readable {
+  const out = new PassThrough({ highWaterMark: AHEAD_BYTES });
   let size = head.length;
-  yield head;
-  for await (const chunk of req) {
-    size += (chunk as Buffer).length;
-    if (size > maxBytes) throw new Error("The body is too large");
-    yield chunk as Buffer;
-  }
+  const check = () => {
+    // Nobody takes the bytes: that they stop is not the caller's doing.
+    if (out.writableNeedDrain) timer.refresh();
+    else req.destroy();
+  };
+  const timer = setTimeout(check, limits.idleMs);
+  const stop = () => clearTimeout(timer);
+  req.on("data", (chunk: Buffer) => {
+    timer.refresh();
+    size += chunk.length;
+    if (size > limits.maxBytes) {
+      out.destroy(new Error("The body is too large"));
+    }
+  });
+  req.once("end", stop);
+  req.once("close", () => {
+    stop();
+    if (!req.readableEnded) out.destroy(new Error("The body was cut"));
+  });
+  out.once("close", stop);
+  // Whoever takes the stream is told; until then its end is enough.
+  out.on("error", () => {});
+  out.write(head);
+  req.pipe(out);
+  return out;
 }
--- a/packages/router/src/http_call.ts
+++ b/packages/router/src/http_call.ts
@@ -153,6 +153,10 @@
     const body = this.#o.body;
     if (body.kind !== BodyKind.Stream) return;
     const source = body.stream;
+    if (source.destroyed) {
+      this.#req?.destroy(new Error("Body cut"));
+      return;
+    }
     let idle = setTimeout(() => stall(), this.#o.bodyIdleMs);
     const stall = () => this.#req?.destroy(new Error("The body stalled"));
     const renew = () => {
