ranges: Divide keys first once servers have ceased to announce themselves

Cause: at the start of a deployment the coordinator divided the keys at its first plan, while one or two servers had announced themselves; they got all keys.

Ruled out: more moves at a time alone; the first seconds are over before loads are known.

Each key is taken to have a little load, so that servers that join before the first request get keys. Moves in one plan grow with the number of servers.

--- a/packages/ranges/src/key_load.ts
+++ b/packages/ranges/src/key_load.ts
@@ -3,6 +3,11 @@
 
 /** A shorter time says nothing about rates, ms. */
 const MIN_AGE_MS = 500;
+/**
+ * Requests per second that each key is taken to have, so that keys without
+ * requests are spread, too.
+ */
+const PRIOR_RATE = 1 / KEY_COUNT;
 
 /** Rates that follow new counts within a few seconds. */
 export class KeyLoad {
@@ -49,9 +54,16 @@
     if (sum === 0) this.#firstAt = nowMs;
   }
 
+  /** Requests per second that were reported, as of the last advance. */
+  get total(): number {
+    return this.#sums[KEY_COUNT]! * this.#correction;
+  }
+
   /** Requests per second for keys `from` to `to`, as of the last advance. */
   sum(from: number, to: number): number {
-    return (this.#sums[to + 1]! - this.#sums[from]!) * this.#correction;
+    const measured = (this.#sums[to + 1]! - this.#sums[from]!) *
+      this.#correction;
+    return measured + PRIOR_RATE * (to - from + 1);
   }
 
   /** Last key up to which keys from `from` on have at most `rate`. */
--- a/packages/ranges/src/mod.ts
+++ b/packages/ranges/src/mod.ts
@@ -4,6 +4,7 @@
  */
 export * from "./assignment.js";
 export * from "./balance.js";
+export * from "./first_division.js";
 export * from "./key_load.js";
 export * from "./lease_calls.js";
 export * from "./owner_table.js";
--- a/packages/ranges/src/range_keeper.ts
+++ b/packages/ranges/src/range_keeper.ts
@@ -14,6 +14,7 @@
   planBalance,
   summarizeBalance,
 } from "./balance.js";
+import { FirstDivision } from "./first_division.js";
 import type { KeyLoad } from "./key_load.js";
 import {
   type LeaseCall,
@@ -52,8 +53,10 @@
 const RETRY_MS = 250;
 /** Calls in a row without an answer after which a server is suspected. */
 const SUSPECT_AFTER = 2;
-/** Most moves for the sake of load that are begun in one plan. */
-const MAX_MOVES = 10;
+/** Moves for the sake of load that may always be begun in one plan. */
+const MIN_MOVES = 10;
+/** The same for each server. */
+const MOVES_PER_SERVER = 1 / 3;
 /** A lost server's range is spread over this many servers at the most. */
 const MAX_SPREAD = 3;
 /** Ranges are cut as long as there are fewer for each server. */
@@ -88,6 +91,7 @@
   /** Earliest time of the next call for a range and server, ms. */
   readonly #next = new Map<string, number>();
   readonly #refused: LeaseCall[] = [];
+  readonly #firstDivision = new FirstDivision();
   /** Highest fencing token that an earlier coordinator may have granted. */
   readonly #inheritedFence: number;
   /** Time by which the leases of earlier coordinators have ended, ms. */
@@ -155,18 +159,32 @@
   /** Plans changes of owners: for lost and leaving servers, then for load. */
   plan(context: PlanContext): readonly OwnerChange[] {
     const candidates = this.#listCandidates(context);
+    if (this.#list.every((a) => a.fence === 0)) {
+      return this.#planFirst(candidates, context);
+    }
     if (candidates.length === 0) return [];
-    if (this.#list.every((a) => a.fence === 0)) return divide(candidates);
     const needed = this.#planNeeded(candidates, context);
     if (needed.length > 0 || !context.balance) return needed;
     return planBalance(this.#list, candidates, {
       nowMs: context.nowMs,
-      maxMoves: MAX_MOVES,
+      maxMoves: Math.max(MIN_MOVES, MOVES_PER_SERVER * candidates.length),
       mayCut: this.#mayCut(candidates.length),
       load: context.load,
     });
   }
 
+  #planFirst(
+    candidates: readonly OwnerCandidate[],
+    { nowMs, load }: PlanContext,
+  ): readonly OwnerChange[] {
+    const isDue = this.#firstDivision.observe({
+      nowMs,
+      servers: candidates.length,
+      load: load.total,
+    });
+    return isDue ? divide(candidates) : [];
+  }
+
   /** Each range is renewed by a call of its own: their number is bounded. */
   #mayCut(servers: number): boolean {
     return this.#list.length < MAX_RANGES_PER_SERVER * servers;
