gateway: Renew leases through a stop while the store is away; big routers lead

Beside it: a record that had taken effect late was taken for proof that nobody had followed, although a successor might have.

Change: the coordinator renews leases until the store answers or its time to stop is up. Records after its own end its term. Routers with more cores claim first, as the coordinator's work grows with the servers.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -12,7 +12,7 @@
   type OwnershipRecord,
   type OwnerTable,
   type PlanContext,
-  PREDECESSOR_LIMIT_MS,
+  Predecessors,
   RangeKeeper,
   readCoordinator,
   type RouterRef,
@@ -62,6 +62,8 @@
 /** Pause between two log lines about the balance, ms. */
 const SUMMARY_MS = 2_000;
 const KEYS_IN_REPORT = 400;
+/** Age of the servers up to which the store serves this router, ms. */
+const STORE_HEARD_MS = 1_000;
 /** A router that does not answer is asked again after this time, ms. */
 const LOST_MEMBER_RETRY_MS = 1_000;
 
@@ -79,7 +81,7 @@
   readonly #members = new Map<string, Member>();
   readonly #book = new CapacityBook();
   readonly #pauses = new PauseDetector();
-  readonly #predecessors: RouterRef[];
+  readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
   #position: number;
   readonly #guard: TermGuard;
@@ -103,7 +105,10 @@
     const { self } = parts;
     const known = claim.inherited?.routers ?? [];
     this.#routers = [...known.filter((r) => r.node !== self.node), self];
-    this.#predecessors = listPredecessors(claim.inherited, self);
+    this.#predecessors = Predecessors.restore(claim.inherited, {
+      self,
+      claimedMs: nowMs,
+    });
     this.#restoreKeepers(claim.inherited, nowMs);
     for (const router of this.#routers) this.#addMember(router);
   }
@@ -146,8 +151,16 @@
     this.#parts.onEnd(reason);
   }
 
-  /** Planned stop: tells the successor that no more calls are sent. */
-  async resign(): Promise<void> {
+  /**
+   * Planned stop: tells the successor that no more calls are sent. While the
+   * store is away nobody can follow, and the leases are renewed until
+   * `untilMs`.
+   */
+  async resign(untilMs: number): Promise<void> {
+    while (!this.#hasEnded && !this.#hearsStore()) {
+      if (performance.now() >= untilMs) break;
+      await pause(TICK_MS);
+    }
     if (this.#hasEnded) return;
     clearInterval(this.#timer);
     this.#hasEnded = true;
@@ -164,30 +177,32 @@
     for (const { link } of this.#members.values()) link.close();
   }
 
+  #hearsStore(): boolean {
+    const ageMs = performance.now() - this.#parts.knowledge.serversAt;
+    return ageMs < STORE_HEARD_MS;
+  }
+
   #restoreKeepers(record: OwnershipRecord | undefined, nowMs: number): void {
-    const inheritedUntilMs = nowMs + PREDECESSOR_LIMIT_MS +
-      computeLeaseEnd(this.#parts.times);
-    const options = { times: this.#parts.times, inheritedUntilMs };
+    const { times } = this.#parts;
+    const endMs = Math.max(nowMs, this.#predecessors.computeEnd());
+    const inheritedUntilMs = endMs + computeLeaseEnd(times);
     for (const [service, list] of Object.entries(record?.services ?? {})) {
-      const keeper = RangeKeeper.restore(service, list, options);
+      const keeper = RangeKeeper.restore(service, list, {
+        times,
+        inheritedUntilMs,
+      });
       this.#keepers.set(service, keeper);
     }
-    if (this.#predecessors.length === 0) this.#boundInherited(nowMs);
-  }
-
-  #boundInherited(nowMs: number): void {
-    for (const keeper of this.#keepers.values()) {
-      keeper.boundInherited(nowMs + computeLeaseEnd(this.#parts.times));
-    }
   }
 
   /** Takes note that earlier coordinators have certainly ended. */
   #clear(hasEnded: (predecessor: RouterRef) => boolean): void {
-    const before = this.#predecessors.length;
-    const rest = this.#predecessors.filter((p) => !hasEnded(p));
-    this.#predecessors.splice(0, before, ...rest);
-    if (before === 0 || rest.length > 0) return;
-    this.#boundInherited(performance.now());
+    if (!this.#predecessors.clear(hasEnded)) return;
+    const nowMs = performance.now();
+    const endMs = Math.max(nowMs, this.#predecessors.computeEnd());
+    const untilMs = endMs + computeLeaseEnd(this.#parts.times);
+    for (const keeper of this.#keepers.values()) keeper.boundInherited(untilMs);
+    if (!this.#predecessors.isEmpty) return;
     this.#parts.log.record("predecessorsEnded", { term: this.#term });
   }
 
@@ -318,7 +333,7 @@
       coordinator: this.#parts.self,
       resigned: false,
       routers: this.#routers,
-      predecessors: [...this.#predecessors],
+      predecessors: this.#predecessors.list(performance.now()),
       services: Object.fromEntries(services),
     };
   }
@@ -354,15 +369,17 @@
       waitMs: 0,
     });
     if (read.end !== StoreEnd.Done) return false;
-    const found = read.value?.items.find((e) => e.offset >= at);
-    if (found?.text === text) return true;
-    if (found && this.#isOwn(found.text)) {
-      // An earlier record of ours, from a call that had no answer. It names
-      // changes that were never granted; the next record replaces it.
-      this.#position = found.offset + 1;
-    } else if (found) {
+    const items = read.value?.items.filter((e) => e.offset >= at) ?? [];
+    if (items.some((e) => !this.#isOwn(e.text))) {
+      // Whoever came after has read the record, if it is there, and acts on it.
       this.end("another router has claimed");
+      return false;
     }
+    const found = items[0];
+    if (found?.text === text) return true;
+    // An earlier record of ours, from a call that had no answer. It names
+    // changes that were never granted; the next record replaces it.
+    if (found) this.#position = found.offset + 1;
     return false;
   }
 
@@ -547,18 +564,6 @@
   }
 }
 
-/** Earlier coordinators that may still send grants. */
-function listPredecessors(
-  record: OwnershipRecord | undefined,
-  self: RouterRef,
-): RouterRef[] {
-  if (!record) return [];
-  const list = record.resigned
-    ? record.predecessors
-    : [...record.predecessors, record.coordinator];
-  return list.filter((p) => p.node !== self.node);
-}
-
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -128,14 +128,18 @@
     if (this.#isStopping) return;
     this.#isStopping = true;
     this.#options.log.record("stop", { open: this.#dispatcher.open });
-    const { stopMs } = this.#options.settings();
-    const handedOver = this.#member.stop();
-    const maxMs = stopMs - STOP_RESERVE_MS;
+    const maxMs = this.#options.settings().stopMs - STOP_RESERVE_MS;
+    const handedOver = this.#member.stop(performance.now() + maxMs);
     await this.#front.drain({ leadMs: LEAD_MS, maxMs });
     await handedOver;
     await this.#lifeCycle.stopAll({ timeoutMs: STOP_TIMEOUT_MS });
   }
 
+  /** Whether this process is the coordinator. */
+  get isLeading(): boolean {
+    return this.#member.isLeading;
+  }
+
   /** Whether the platform should send clients here. */
   isReady(): boolean {
     if (this.#isStopping) return false;
@@ -218,6 +222,7 @@
     incarnation: randomUUID(),
     address: `${host}:${port}`,
     zone: settings.zone,
+    cores: settings.cores,
   };
 }
 
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -3,6 +3,7 @@
 import {
   decodeRecord,
   encodeRecord,
+  listPredecessors,
   type OwnershipRecord,
   OwnerTable,
   type RouterRef,
@@ -109,13 +110,12 @@
     this.#watch();
   }
 
-  /** Stops; a coordinator hands over first. */
-  async stop(): Promise<void> {
+  /** Stops; a coordinator hands over first, by `untilMs` at the latest. */
+  async stop(untilMs = performance.now()): Promise<void> {
     this.#hasStopped = true;
     clearInterval(this.#timer);
-    const leading = this.#leading;
+    await this.#leading?.resign(untilMs);
     this.#leading = undefined;
-    await leading?.resign();
   }
 
   /** Methods that other routers call. */
@@ -370,12 +370,7 @@
       coordinator: self,
       resigned: false,
       routers: [...others, self],
-      predecessors: record
-        ? [
-          ...record.predecessors,
-          ...(record.resigned ? [] : [record.coordinator]),
-        ].filter((p) => p.node !== self.node)
-        : [],
+      predecessors: record ? listPredecessors(record, self) : [],
       services: record?.services ?? {},
     });
     const sentAt = performance.now();
@@ -413,13 +408,18 @@
     return found?.text === text;
   }
 
-  /** Routers claim one after the other, in an order that all of them know. */
+  /**
+   * Routers claim one after the other, those with the most cores first: the
+   * coordinator has work that grows with the number of servers.
+   */
   #computeRank(record: OwnershipRecord | undefined): number {
     const { self } = this.#parts;
-    const nodes = (record?.routers ?? []).map((r) => r.node)
-      .filter((n) => n !== record?.coordinator.node).sort();
-    const rank = nodes.indexOf(self.node);
-    return rank < 0 ? Math.floor(Math.random() * 3) : Math.min(rank, MAX_RANK);
+    const others = (record?.routers ?? [])
+      .filter((r) => r.node !== record?.coordinator.node)
+      .sort((a, b) => b.cores - a.cores || (a.node < b.node ? -1 : 1));
+    const rank = others.findIndex((r) => r.node === self.node);
+    if (rank >= 0) return Math.min(rank, MAX_RANK);
+    return MAX_RANK * (1 - Math.min(1, self.cores)) + Math.random();
   }
 }
 
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -10,6 +10,8 @@
 export interface GatewaySettings {
   readonly node: string;
   readonly zone: string;
+  /** Processor cores that the process may use. */
+  readonly cores: number;
   readonly listen: {
     /** For clients. */
     readonly front: ListenAddress;
--- a/packages/gateway/test/server_news_test.ts
+++ b/packages/gateway/test/server_news_test.ts
@@ -14,8 +14,14 @@
 import { type PlatformStore, StoreEnd } from "../src/ports.js";
 import { StatsBook } from "../src/stats_book.js";
 
-const SELF = { node: "r-1", incarnation: "a", address: "h:1", zone: "z" };
-const LEADER = { node: "r-2", incarnation: "b", address: "h:2", zone: "z" };
+const SELF = {
+  node: "r-1",
+  incarnation: "a",
+  address: "h:1",
+  zone: "z",
+  cores: 1,
+};
+const LEADER = { ...SELF, node: "r-2", incarnation: "b", address: "h:2" };
 const LOG = EventLog.create({
   node: "r-1",
   fd: 2,
