gateway: Look at the servers of a service once for each placement

Cause: each placement built and sorted a list of all servers of the service and averaged their times, also where only the owner of a key was asked for. At tens of servers for each service that is most of what the router itself does for a request.

Change: one pass that keeps the best server; the mean is only computed for a server that has not been measured; ready servers are listed once for each view.

--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -1,10 +1,10 @@
 /** Finds a server for a request, now or after a wait. @module */
 import {
   type Admission,
+  chooseServer,
   computeRetryAfter,
   decideAdmission,
   estimateTime,
-  rankServers,
   Verdict,
   type Waiter,
   WaitingRoom,
@@ -206,9 +206,10 @@
       return refuse(RefusalReason.OwnerSilent, SILENT_RETRY_MS);
     }
     const room = `server/${server.id}`;
-    const assumedMs = this.#stats.computeMeanServiceMs(
-      this.#knowledge.servers.listService(service.name),
-    );
+    const assumedMs = stats.measuredServiceMs ??
+      this.#stats.computeMeanServiceMs(
+        this.#knowledge.servers.listReady(service.name),
+      );
     const candidate = { entry: server, stats };
     const admission = decideAdmission({
       hasRoom: stats.inFlight < stats.limit,
@@ -228,13 +229,12 @@
     options: AttemptOptions,
   ): Attempt {
     const { nowMs } = options;
-    const entries = this.#knowledge.servers.listService(service.name)
-      .filter((e) => e.state === ServerState.Ready);
+    const entries = this.#knowledge.servers.listReady(service.name);
+    if (entries.length === 0) return refuse(RefusalReason.NoServer);
+    const serviceMs = this.#stats.computeMeanServiceMs(entries);
     const candidates = entries
       .map((entry) => ({ entry, stats: this.#stats.get(entry.id) }));
-    if (candidates.length === 0) return refuse(RefusalReason.NoServer);
-    const serviceMs = this.#stats.computeMeanServiceMs(entries);
-    const ranked = rankServers(candidates, {
+    const { best, heard, limit } = chooseServer(candidates, {
       nowMs,
       zone: this.#zone,
       bytes: options.body + ANSWER_BYTES,
@@ -242,24 +242,23 @@
       assumedMs: serviceMs,
       random: Math.random,
     });
-    const room = `service/${service.name}`;
-    const heard = candidates.filter((c) => !c.stats.isSilent(nowMs));
-    const leftMs = call.deadlineMs - nowMs;
-    if (heard.length === 0) {
+    if (heard === 0) {
       return refuse(RefusalReason.OwnerSilent, SILENT_RETRY_MS);
     }
+    const room = `service/${service.name}`;
+    const leftMs = call.deadlineMs - nowMs;
     const admission = decideAdmission({
-      hasRoom: ranked.length > 0,
+      hasRoom: best !== undefined,
       ahead: options.ahead ?? this.#room.countAhead(room, call.route.priority),
-      limit: heard.reduce((sum, c) => sum + c.stats.limit, 0),
+      limit,
       serviceMs,
-      expectedMs: ranked[0]
-        ? estimateTime(ranked[0], { nowMs, assumedMs: serviceMs })
+      expectedMs: best
+        ? estimateTime(best, { nowMs, assumedMs: serviceMs })
         : serviceMs,
       leftMs,
       targetMs: call.route.targetMs,
     });
-    return toAttempt(admission, { server: ranked[0]?.entry, room, leftMs });
+    return toAttempt(admission, { server: best?.entry, room, leftMs });
   }
 }
 
--- a/packages/gateway/src/stats_book.ts
+++ b/packages/gateway/src/stats_book.ts
@@ -30,11 +30,15 @@
 
   /** Mean time of a request over the measured servers, ms. */
   computeMeanServiceMs(entries: readonly ServerEntry[]): number {
-    const times = entries
-      .map((e) => this.#servers.get(e.id)?.measuredServiceMs)
-      .filter((ms) => ms !== undefined);
-    if (times.length === 0) return FIRST_SERVICE_MS;
-    return times.reduce((sum, ms) => sum + ms, 0) / times.length;
+    let count = 0;
+    let sumMs = 0;
+    for (const { id } of entries) {
+      const ms = this.#servers.get(id)?.measuredServiceMs;
+      if (ms === undefined) continue;
+      count += 1;
+      sumMs += ms;
+    }
+    return count === 0 ? FIRST_SERVICE_MS : sumMs / count;
   }
 
   countKey(service: string, key: number): void {
--- a/packages/placement/src/server_choice.ts
+++ b/packages/placement/src/server_choice.ts
@@ -41,21 +41,38 @@
 /** Estimates differ by this share at random, against herds of routers. */
 const NOISE = 0.2;
 
-/** Returns the servers that can be sent to, the best first. */
-export function rankServers(
+/** What a look at all servers of a service has shown. */
+export interface ServerChoice {
+  /** The best of the servers that can be sent to. */
+  readonly best?: Candidate;
+  /** Number of servers that are not silent. */
+  readonly heard: number;
+  /** Requests that the router may have under way at these. */
+  readonly limit: number;
+}
+
+/** Chooses the server with the least cost among those with room. */
+export function chooseServer(
   candidates: readonly Candidate[],
   context: ChoiceContext,
-): readonly Candidate[] {
-  return candidates
-    .filter((c) => isOpen(c, context))
-    .map((c) => ({ c, cost: estimateCost(c, context) }))
-    .sort((a, b) => a.cost - b.cost)
-    .map(({ c }) => c);
+): ServerChoice {
+  let best: Candidate | undefined;
+  let least = Infinity;
+  let heard = 0;
+  let limit = 0;
+  for (const candidate of candidates) {
+    if (candidate.stats.isSilent(context.nowMs)) continue;
+    heard += 1;
+    limit += candidate.stats.limit;
+    if (!isOpen(candidate, context)) continue;
+    const cost = estimateCost(candidate, context);
+    if (cost < least) [best, least] = [candidate, cost];
+  }
+  return { ...(best ? { best } : {}), heard, limit };
 }
 
 function isOpen({ entry, stats }: Candidate, context: ChoiceContext): boolean {
-  return !context.tried.has(entry.id) && !stats.isSilent(context.nowMs) &&
-    stats.inFlight < stats.limit;
+  return stats.inFlight < stats.limit && !context.tried.has(entry.id);
 }
 
 /** Estimated time until an answer of the server, ms. */
--- a/packages/routing/src/server_view.ts
+++ b/packages/routing/src/server_view.ts
@@ -32,6 +32,7 @@
 export class ServerView {
   readonly #entries: ReadonlyMap<string, ServerEntry>;
   readonly #byService = new Map<string, ServerEntry[]>();
+  readonly #ready = new Map<string, readonly ServerEntry[]>();
   readonly position: number;
 
   private constructor(
@@ -78,6 +79,16 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Servers of a service that take new work. */
+  listReady(service: string): readonly ServerEntry[] {
+    const known = this.#ready.get(service);
+    if (known) return known;
+    const ready = this.listService(service)
+      .filter((e) => e.state === ServerState.Ready);
+    this.#ready.set(service, ready);
+    return ready;
+  }
+
   list(): readonly ServerEntry[] {
     return [...this.#entries.values()];
   }
