--- /dev/null
+++ b/packages/ranges/test/balance_test.ts
@@ -0,0 +1,99 @@
+/** Moves for the sake of load. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type Assignment,
+  KeyLoad,
+  type OwnerCandidate,
+  planBalance,
+} from "../src/mod.js";
+
+const NOW_MS = 10_000;
+const CAPACITY = 10;
+
+interface Case {
+  readonly guards: string;
+  readonly servers: number;
+  /** Requests per second by key; all keys belong to the first server. */
+  readonly load: Readonly<Record<number, number>>;
+  readonly rounds: number;
+  /** Load of the busiest server after the rounds, requests per second. */
+  readonly busiest: number;
+}
+
+const CASES: readonly Case[] = [
+  {
+    guards: "one server sheds so slowly that seconds of requests are lost",
+    servers: 15,
+    // Busy keys that lie close to one another, all at one server.
+    load: Object.fromEntries(
+      Array.from({ length: 60 }, (_, i) => [30_000 + i, 1.5]),
+    ),
+    rounds: 3,
+    busiest: 13,
+  },
+  {
+    guards: "a key above any server drags its neighbours along",
+    servers: 4,
+    load: { 100: 40, 101: 6, 99: 6, 60_000: 4 },
+    rounds: 3,
+    busiest: 40.1,
+  },
+];
+
+/** Moves take effect at once, and the ranges may move again in the next round. */
+function play({ servers, load: rates, rounds }: Case): number {
+  const load = KeyLoad.create({ timeConstantMs: 1_000 });
+  load.advance(NOW_MS);
+  for (const [key, rate] of Object.entries(rates)) load.add(Number(key), rate);
+  load.advance(NOW_MS);
+  const scale = load.total / Object.values(rates).reduce((a, b) => a + b, 0);
+  const candidates = Array.from(
+    { length: servers },
+    (_, i): OwnerCandidate => ({
+      id: `i-${i}`,
+      born: 1,
+      capacity: CAPACITY * scale,
+    }),
+  );
+  let owners = new Map([[0, { to: 65_535, id: "i-0" }]]);
+  const list = () =>
+    [...owners].map(([from, { to, id }]): Assignment => ({
+      from,
+      to,
+      owner: { id, born: 1 },
+      fence: 1,
+      former: [],
+      granted: true,
+      heldUntilMs: 0,
+      changedAtMs: 0,
+    })).sort((a, b) => a.from - b.from);
+  for (let round = 0; round < rounds; round++) {
+    const options = { nowMs: NOW_MS, maxMoves: 10, mayCut: true, load };
+    for (const move of planBalance(list(), candidates, options)) {
+      const next = new Map<number, { to: number; id: string }>();
+      for (const [from, { to, id }] of owners) {
+        if (from < move.from) {
+          next.set(from, { to: Math.min(to, move.from - 1), id });
+        }
+        if (to > move.to) next.set(Math.max(from, move.to + 1), { to, id });
+      }
+      next.set(move.from, { to: move.to, id: move.owner.id });
+      owners = next;
+    }
+  }
+  const sums = new Map<string, number>();
+  for (const a of list()) {
+    const { id } = a.owner!;
+    sums.set(id, (sums.get(id) ?? 0) + load.sum(a.from, a.to) / scale);
+  }
+  return Math.max(...sums.values());
+}
+
+for (const balanceCase of CASES) {
+  const { guards, busiest } = balanceCase;
+  test(`balance, guards against: ${guards}`, () => {
+    const load = play(balanceCase);
+    assert.ok(load <= busiest, `the busiest server has ${load} a second`);
+  });
+}
