--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -57,6 +57,7 @@
   readonly #budgets = new Map<string, RetryBudget>();
   #open = 0;
   #isClosing = false;
+  #isClosed = false;
 
   constructor(parts: DispatcherParts) {
     this.#parts = parts;
@@ -72,12 +73,18 @@
     this.#isClosing = true;
   }
 
+  /** From now on, requests are refused: the process is about to end. */
+  refuseAll(): void {
+    this.#isClosed = true;
+  }
+
   /** Serves one request. */
   async serve(request: IncomingMessage, response: ServerResponse) {
     const nowMs = performance.now();
     response.sendDate = false;
     const facts = this.#parts.protocol.readRequest(request.headers);
     const table = this.#parts.knowledge.routes;
+    if (this.#isClosed) return this.#answerEarly(response, facts, "stopping");
     if (!table || !this.#parts.knowledge.hasServers) {
       return this.#answerEarly(response, facts, "starting");
     }
@@ -103,19 +110,18 @@
   #answerEarly(
     response: ServerResponse,
     facts: RequestFacts,
-    reason: "starting" | "noRoute",
+    reason: EarlyReason,
   ): void {
-    const isStarting = reason === "starting";
+    const early = EARLY_ANSWERS[reason];
     this.#parts.log.write("refused", {
       request: facts.attemptId,
       reason,
       version: this.#parts.knowledge.routes?.version,
     }, EventWeight.Routine);
     answerPlain(response, {
-      status: isStarting ? OwnStatus.Refused : OwnStatus.NotFound,
+      ...early,
       isClosing: this.#isClosing,
       attemptId: facts.attemptId,
-      ...(isStarting ? { retryAfterMs: STARTING_RETRY_MS } : {}),
     });
   }
 
@@ -327,6 +333,18 @@
   }
 }
 
+/** Why a request is answered before it has a route. */
+type EarlyReason = "starting" | "stopping" | "noRoute";
+
+const EARLY_ANSWERS: Readonly<
+  Record<EarlyReason, { status: OwnStatus; retryAfterMs?: number }>
+> = {
+  starting: { status: OwnStatus.Refused, retryAfterMs: STARTING_RETRY_MS },
+  // Other routers serve on.
+  stopping: { status: OwnStatus.Refused, retryAfterMs: 0 },
+  noRoute: { status: OwnStatus.NotFound },
+};
+
 /** Ends after which a server may have run the request. */
 const MAY_HAVE_RUN: ReadonlySet<ExchangeEnd> = new Set([
   ExchangeEnd.Broken,
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -81,6 +81,9 @@
       this.#server.closeIdleConnections();
       await pause(STOP_POLL_MS);
     }
+    // What still arrives is refused: nothing may run once its connection ends.
+    this.#dispatcher.refuseAll();
+    await pause(STOP_POLL_MS);
     this.#log.record("drained", {
       open: this.#dispatcher.open,
       connections: this.#sockets.size,
