gateway: Let a second stop wait for the first

A second SIGTERM found the stop under way, returned at once, and the process exited under the requests that the first one was waiting for.

Change: each call of stop resolves once the one stop has ended.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,7 @@
   readonly #placer: Placer;
   readonly #dispatcher: Dispatcher;
   readonly #startedAt = performance.now();
-  #isStopping = false;
+  #stopped: Promise<void> | undefined;
   #wasReady = false;
 
   constructor(options: GatewayOptions) {
@@ -123,10 +123,16 @@
     });
   }
 
-  /** Planned stop: no request that has been read is lost. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
+  /**
+   * Planned stop: no request that has been read is lost. Each call resolves
+   * once the stop has ended, also one that comes while it is under way.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#options.log.record("stop", { open: this.#dispatcher.open });
     const maxMs = this.#options.settings().stopMs - STOP_RESERVE_MS;
     const handedOver = this.#member.stop(performance.now() + maxMs);
@@ -142,7 +148,7 @@
 
   /** Whether the platform should send clients here. */
   isReady(): boolean {
-    if (this.#isStopping) return false;
+    if (this.#stopped) return false;
     const { routes, hasServers } = this.#knowledge;
     if (!routes || !hasServers) return false;
     const isReady = this.#wasReady || this.#hasOwners() ||
