gateway: Leave the coordinator alone from a zone that is cut off

A refused connection counted as proof that the coordinator had ended; the cut-off zone claimed, the others did not hear it and claimed in their turn. Each change of coordinator forgets the loads of keys and makes successors wait for predecessors.

Change: the decision is a module of its own. Witnesses of other zones are asked first.

--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -16,6 +16,12 @@
   PeerMethod,
   type SilenceAnswer,
 } from "./beat.js";
+import {
+  chooseWitnesses,
+  mayFollow,
+  Presence,
+  type Witness,
+} from "./claim_decision.js";
 import type { Coordinator } from "./coordinator.js";
 import type { Claim } from "./coordinator.js";
 import type { FeedReader } from "./feed_reader.js";
@@ -24,13 +30,7 @@
 import { PeerFailure, PeerFailureKind, PeerLink } from "./peer_link.js";
 import { type OwnershipEntry, type PlatformStore, StoreEnd } from "./ports.js";
 import type { StatsBook } from "./stats_book.js";
-import {
-  BEAT_MS,
-  RECORD_REFRESH_MS,
-  SILENT_MS,
-  STALE_MS,
-  STORE_RETRY_MS,
-} from "./timing.js";
+import { BEAT_MS, SILENT_MS, STALE_MS, STORE_RETRY_MS } from "./timing.js";
 
 /** What a member works with. */
 export interface MemberParts {
@@ -46,8 +46,6 @@
 
 const WATCH_MS = 100;
 const KEYS_IN_REPORT = 200;
-/** Routers that are asked whether they hear the coordinator. */
-const WITNESSES = 3;
 /** Later candidates give earlier ones this much time, ms. */
 const RANK_MS = 60;
 const MAX_RANK = 8;
@@ -56,16 +54,6 @@
 /** A store that answers a router within this time serves it, ms. */
 const QUICK_STORE_MS = 400;
 
-/** What a router knows of the coordinator. */
-enum Presence {
-  Heard = "heard",
-  /** It has just taken this router in. */
-  Joined = "joined",
-  /** It does not lead any more. */
-  Ended = "ended",
-  Silent = "silent",
-}
-
 /** This router among the others. */
 export class Member {
   readonly #parts: MemberParts;
@@ -266,17 +254,36 @@
 
   /**
    * A coordinator that we hear is replaced if it has lost the store and we
-   * have not; one that we do not hear, if it has ended or nobody hears it.
+   * have not; one that we do not hear, if others do not hear it either.
    */
   async #mayLead(
     presence: Presence,
     { newest, tookMs }: { newest: NewestRecord; tookMs: number },
   ): Promise<boolean> {
-    if (presence === Presence.Ended) return true;
-    if (presence === Presence.Silent) return this.#isMissedByAll(newest.record);
+    const { record } = newest;
+    if (presence === Presence.Ended || !record) return true;
+    if (presence === Presence.Refused || presence === Presence.Silent) {
+      return this.#isMissed(record, presence);
+    }
     return this.#coordinatorAgeMs > STORE_LOST_MS && tookMs < QUICK_STORE_MS;
   }
 
+  async #isMissed(
+    { coordinator, routers }: OwnershipRecord,
+    presence: Presence.Refused | Presence.Silent,
+  ): Promise<boolean> {
+    const { self } = this.#parts;
+    const options = { self, coordinator, random: Math.random };
+    const asked = chooseWitnesses(routers, options);
+    return mayFollow({
+      self,
+      coordinator,
+      presence,
+      witnesses: await Promise.all(asked.map(askSilence)),
+      unchangedMs: performance.now() - this.#recordSeenAt,
+    });
+  }
+
   #isHeard(): boolean {
     return performance.now() - this.#heardAt < SILENT_MS;
   }
@@ -337,28 +344,14 @@
         router: coordinator.node,
         problem: error.message,
       });
-      const isGone = error.kind === PeerFailureKind.Refused;
-      return isGone ? Presence.Ended : Presence.Silent;
+      return error.kind === PeerFailureKind.Refused
+        ? Presence.Refused
+        : Presence.Silent;
     } finally {
       link.close();
     }
   }
 
-  /** Whether no other router hears the coordinator either. */
-  async #isMissedByAll(record: OwnershipRecord | undefined): Promise<boolean> {
-    const { self } = this.#parts;
-    const others = (record?.routers ?? this.#routers).filter((r) =>
-      r.node !== self.node && r.node !== record?.coordinator.node
-    );
-    const asked = shuffle(others).slice(0, WITNESSES);
-    const silences = await Promise.all(asked.map(askSilence));
-    const heard = silences.filter((s) => s !== undefined);
-    if (heard.length > 0) return heard.every((ms) => ms > SILENT_MS * 0.8);
-    // Nobody answers: a coordinator that lives writes its record anew.
-    const unchangedMs = performance.now() - this.#recordSeenAt;
-    return unchangedMs > RECORD_REFRESH_MS * 1.5;
-  }
-
   async #claim(newest: NewestRecord): Promise<void> {
     const { self, store, log, lead } = this.#parts;
     const rank = this.#computeRank(newest.record);
@@ -430,21 +423,15 @@
   readonly record?: OwnershipRecord;
 }
 
-async function askSilence(router: RouterRef): Promise<number | undefined> {
+async function askSilence(router: RouterRef): Promise<Witness> {
   const link = new PeerLink(router.address);
   try {
     const answer = await link.call<SilenceAnswer>(PeerMethod.Silence, {});
-    return answer.silentMs;
+    return { router, silentMs: answer.silentMs };
   } catch (error) {
-    // A router that does not answer is no witness.
-    if (error instanceof PeerFailure) return undefined;
+    if (error instanceof PeerFailure) return { router };
     throw error;
   } finally {
     link.close();
   }
 }
-
-function shuffle<T>(items: readonly T[]): T[] {
-  return items.map((item) => ({ item, at: Math.random() }))
-    .sort((a, b) => a.at - b.at).map(({ item }) => item);
-}
