gateway: Refuse requests that crash the servers that run them

Cause: a request that ends each server that begins to run it was sent on without end; one gateway may see one crash only.

Ruled out: counting broken exchanges alone. Lost answers look the same; a crash counts as certain once the server refuses connections, is gone from the store, or has started anew, and any answer clears the request.

Change: gateways report broken exchanges and servers found down with their answers to beats; the coordinator counts lives of servers for each fingerprint (method, target, key, body) and names those beyond three with two certain ones in its beats; each gateway refuses them at once, for two minutes.

--- a/packages/gateway/src/beat.ts
+++ b/packages/gateway/src/beat.ts
@@ -1,6 +1,7 @@
 /** Messages between the coordinator and the other routers. @module */
 import type { OwnedRange, RouterRef } from "@jaytiller/ranges";
 import type { Configuration, ServerChange } from "@jaytiller/routing";
+import type { CrashReport } from "@jaytiller/placement";
 import type { KeyCount, ServiceTime } from "./stats_book.js";
 
 /** Names of the methods. */
@@ -37,6 +38,8 @@
   readonly serversPosition: number;
   readonly servers?: News<ServerChange>;
   readonly owners?: News<OwnerNews>;
+  /** Requests that crash servers; absent if there are none. */
+  readonly barred?: readonly string[];
 }
 
 /** Answer to a beat. */
@@ -50,6 +53,7 @@
   readonly ownersNumber: number;
   readonly keys: readonly KeyCount[];
   readonly times: readonly ServiceTime[];
+  readonly crashes: CrashReport;
 }
 
 /** Answer to a request to join. */
--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -18,6 +18,7 @@
   type RouterRef,
   TermGuard,
 } from "@jaytiller/ranges";
+import { CrashBook } from "@jaytiller/placement";
 import { CapacityBook } from "./capacity_book.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { Knowledge } from "./knowledge.js";
@@ -80,6 +81,7 @@
   readonly #keepers = new Map<string, RangeKeeper>();
   readonly #members = new Map<string, Member>();
   readonly #book = new CapacityBook();
+  readonly #crashes = new CrashBook();
   readonly #pauses = new PauseDetector();
   readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
@@ -480,13 +482,15 @@
 
   #sendBeat(member: Member): void {
     if (member.link.isBusy || this.#hasEnded) return;
-    member.nextMs = performance.now() + BEAT_MS;
+    const nowMs = performance.now();
+    member.nextMs = nowMs + BEAT_MS;
     member.link.send({
       term: this.#term,
       coordinator: this.#parts.self,
       routers: this.#routers,
       knowledge: this.#parts.knowledge,
-      nowMs: performance.now(),
+      nowMs,
+      barred: this.#crashes.listBarred(nowMs),
     }).then(
       (answer) => {
         this.#setLost(member, false);
@@ -501,6 +505,7 @@
           this.join(router);
         }
         this.#book.addReport(answer.keys, answer.times);
+        this.#crashes.add(answer.crashes, performance.now());
       },
       (error: unknown) => {
         if (!(error instanceof PeerFailure)) throw error;
@@ -525,6 +530,9 @@
       stats.takeKeyCounts(KEYS_IN_REPORT),
       stats.takeServiceTimes(),
     );
+    const nowMs = performance.now();
+    this.#crashes.add(stats.crashes.takeReport(nowMs), nowMs);
+    this.#parts.knowledge.putBarred(this.#crashes.listBarred(nowMs));
   }
 
   async #followServers(): Promise<void> {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,4 +1,5 @@
 /** The path of a request: route, server, exchange, answer. @module */
+import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type EventLog, EventWeight } from "@jaytiller/kernel";
 import { ExchangeSign, RetryBudget } from "@jaytiller/placement";
@@ -47,6 +48,9 @@
 const ANSWER_SLACK_MS = 100;
 /** Time after which a client without a route table comes back, ms. */
 const STARTING_RETRY_MS = 500;
+/** Time after which a client may ask about a request that crashes servers, ms. */
+const CRASHING_RETRY_MS = 5_000;
+const FINGERPRINT_LENGTH = 16;
 /** Time that a second send needs at least, ms. */
 const MIN_LEFT_MS = 30;
 
@@ -136,6 +140,10 @@
       return this.#log(call, "bodyCutShort");
     }
     this.#countRequest(call);
+    if (this.#isBarred(call, body)) {
+      call.answer(OwnStatus.Refused, CRASHING_RETRY_MS);
+      return this.#log(call, "crashesServers");
+    }
     await this.#send(call, body);
   }
 
@@ -150,6 +158,7 @@
       });
       if ("reason" in placed) return this.#refuse(call, placed);
       const result = await this.#exchange(call, placed.server, body);
+      this.#noteCrash(call, { server: placed.server, body, result });
       if (result.end === ExchangeEnd.Answered) {
         call.deliver(result.answer!);
         return this.#log(call, "answered", result);
@@ -221,6 +230,30 @@
     return headers;
   }
 
+  #isBarred(call: ClientCall, body: Buffer): boolean {
+    const { barred } = this.#parts.knowledge;
+    return barred.size > 0 && barred.has(computeFingerprint(call, body));
+  }
+
+  /** Takes note of what may show that the request crashes servers. */
+  #noteCrash(call: ClientCall, sent: Sent): void {
+    const { crashes } = this.#parts.stats;
+    const { server, body, result } = sent;
+    const nowMs = performance.now();
+    if (result.end === ExchangeEnd.NotSent) crashes.noteDown(server.id, nowMs);
+    if (result.end === ExchangeEnd.Broken) {
+      crashes.noteBroken({
+        fingerprint: computeFingerprint(call, body),
+        server: server.id,
+        life: `${server.id}/${server.born}`,
+        atMs: nowMs,
+      });
+    }
+    if (result.end === ExchangeEnd.Answered && crashes.hasSuspects) {
+      crashes.noteAnswered(computeFingerprint(call, body));
+    }
+  }
+
   /** Whether the request may go to a server once more. */
   #maySendAgain(call: ClientCall, end: ExchangeEnd, unsent: number): boolean {
     if (call.isAnswered || call.hasClientLeft) return false;
@@ -333,6 +366,21 @@
   }
 }
 
+/** One send and its end. */
+interface Sent {
+  readonly server: ServerEntry;
+  readonly body: Buffer;
+  readonly result: ExchangeResult;
+}
+
+/** Equal for requests that do the same, whoever sends them. */
+function computeFingerprint(call: ClientCall, body: Buffer): string {
+  const { method, url } = call.request;
+  return createHash("sha256")
+    .update(`${method} ${url} ${call.facts.key ?? ""}\n`)
+    .update(body).digest("base64url").slice(0, FINGERPRINT_LENGTH);
+}
+
 /** Why a request is answered before it has a route. */
 type EarlyReason = "starting" | "stopping" | "noRoute";
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -196,6 +196,11 @@
   #forgetServers(): void {
     const isKnown = (id: string) =>
       this.#knowledge.servers.find(id) !== undefined;
+    const nowMs = performance.now();
+    this.#stats.crashes.noteViewed(
+      (id) => this.#knowledge.servers.find(id)?.born,
+      nowMs,
+    );
     this.#agents.keep(isKnown);
     this.#stats.keep(isKnown);
   }
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -22,6 +22,7 @@
   #servers = ServerView.create([]);
   #owners: ReadonlyMap<string, OwnerTable> = new Map();
   #ownersName = "none";
+  #barred: ReadonlySet<string> = new Set();
   #serversAt = -Infinity;
   #routesAt = -Infinity;
   readonly #listeners: Listener[] = [];
@@ -38,6 +39,11 @@
     return this.#owners;
   }
 
+  /** Fingerprints of requests that crash the servers that run them. */
+  get barred(): ReadonlySet<string> {
+    return this.#barred;
+  }
+
   /** Version of the owners, for the log. */
   get ownersName(): string {
     return this.#ownersName;
@@ -97,6 +103,11 @@
     this.#notify(KnowledgePart.Owners);
   }
 
+  putBarred(fingerprints: readonly string[]): void {
+    if (fingerprints.length + this.#barred.size === 0) return;
+    this.#barred = new Set(fingerprints);
+  }
+
   #notify(part: KnowledgePart): void {
     for (const listener of this.#listeners) listener(part);
   }
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -134,6 +134,7 @@
       ownersNumber: this.#ownersNumber,
       keys: stats.takeKeyCounts(KEYS_IN_REPORT),
       times: stats.takeServiceTimes(),
+      crashes: stats.crashes.takeReport(performance.now()),
     };
   }
 
@@ -166,6 +167,7 @@
       log.record("configuration", { version, source: "coordinator" });
     }
     knowledge.confirmRoutes(nowMs - beat.configurationAgeMs);
+    knowledge.putBarred(beat.barred ?? []);
     this.#takeServers(beat, nowMs);
     this.#takeOwners(beat);
   }
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -17,6 +17,8 @@
   readonly routers: readonly RouterRef[];
   readonly knowledge: Knowledge;
   readonly nowMs: number;
+  /** Fingerprints of requests that crash servers. */
+  readonly barred: readonly string[];
 }
 
 interface Told {
@@ -73,7 +75,7 @@
   }
 
   #makeBeat(context: BeatContext): { beat: Beat; told: Told } {
-    const { knowledge, nowMs, term, coordinator, routers } = context;
+    const { knowledge, nowMs, term, coordinator, routers, barred } = context;
     const { servers, owners, routes } = knowledge;
     const last = this.#told;
     const isNews = !last || last.servers !== servers || last.owners !== owners;
@@ -89,6 +91,7 @@
       configurationAgeMs: Math.round(nowMs - knowledge.routesAt),
       serversAgeMs: Math.round(nowMs - knowledge.serversAt),
       serversPosition: servers.position,
+      ...(barred.length > 0 ? { barred } : {}),
       ...(isOld ? { configuration: routes.configuration } : {}),
       ...(isNews
         ? {
--- a/packages/gateway/src/stats_book.ts
+++ b/packages/gateway/src/stats_book.ts
@@ -1,5 +1,5 @@
 /** What this router has seen of servers and keys. @module */
-import { ServerStats } from "@jaytiller/placement";
+import { CrashWatch, ServerStats } from "@jaytiller/placement";
 import type { ServerEntry } from "@jaytiller/routing";
 
 /** Used until a server of the service has been measured, ms. */
@@ -19,6 +19,7 @@
 export class StatsBook {
   readonly #servers = new Map<string, ServerStats>();
   readonly #keys = new Map<string, Map<number, number>>();
+  readonly crashes = new CrashWatch();
 
   get(id: string): ServerStats {
     const known = this.#servers.get(id);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./admission.js";
+export * from "./crash_suspects.js";
 export * from "./retry_budget.js";
 export * from "./server_choice.js";
 export * from "./server_stats.js";
