gateway: Report ready once keys have owners; split the coordinator

Cause: 'each key is answered through every router' failed in 2 of 25 runs of the tests (503, keyMoving) since the first division waits for servers: a gateway counted as ready with a table of owners in which no key had one, and the first request waited 0.7 s in vain.

Change: ready once some key of each sharded service has an owner, or after 4 s as before. The coordinator's records in the store and its beats are modules of their own (ownership_log, member_beats), as is the division of keys (division); behaviour is the same, but for a doubt that comes while another is being settled: it still moves the time from which proofs count.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -14,22 +14,21 @@
   type PlanContext,
   Predecessors,
   RangeKeeper,
-  readCoordinator,
   type RouterRef,
-  TermGuard,
 } from "@jaytiller/ranges";
 import { CrashBook } from "@jaytiller/placement";
+import type { BeatAnswer } from "./beat.js";
 import { CapacityBook } from "./capacity_book.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { Knowledge } from "./knowledge.js";
-import { MemberLink } from "./member_link.js";
+import { MemberBeats } from "./member_beats.js";
+import type { BeatContext } from "./member_link.js";
+import { OwnershipLog } from "./ownership_log.js";
 import { pause } from "./pause.js";
 import { PauseDetector } from "./pause_detector.js";
-import { PeerFailure } from "./peer_link.js";
-import { type LeaseTransport, type PlatformStore, StoreEnd } from "./ports.js";
+import type { LeaseTransport, PlatformStore } from "./ports.js";
 import type { StatsBook } from "./stats_book.js";
 import {
-  BEAT_MS,
   CONFIGURATION_WAIT_MS,
   RECORD_REFRESH_MS,
   SERVERS_READ_MS,
@@ -65,46 +64,41 @@
 const KEYS_IN_REPORT = 400;
 /** Age of the servers up to which the store serves this router, ms. */
 const STORE_HEARD_MS = 1_000;
-/** A router that does not answer is asked again after this time, ms. */
-const LOST_MEMBER_RETRY_MS = 1_000;
-
-interface Member {
-  readonly link: MemberLink;
-  nextMs: number;
-  isLost: boolean;
-}
-
 /** One term as the coordinator. */
 export class Coordinator {
   readonly #parts: CoordinatorParts;
   readonly #term: number;
   readonly #keepers = new Map<string, RangeKeeper>();
-  readonly #members = new Map<string, Member>();
+  readonly #beats: MemberBeats;
+  readonly #records: OwnershipLog;
   readonly #book = new CapacityBook();
   readonly #crashes = new CrashBook();
   readonly #pauses = new PauseDetector();
   readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
-  #position: number;
-  readonly #guard: TermGuard;
   #isWriting = false;
-  #writtenAt: number;
   #nextBalanceMs = 0;
   #nextSummaryMs = 0;
-  #isDirty = true;
   #hasEnded = false;
   #timer: NodeJS.Timeout | undefined;
-  readonly #inherited: OwnershipRecord | undefined;
 
   constructor(parts: CoordinatorParts, claim: Claim) {
     const nowMs = performance.now();
     this.#parts = parts;
     this.#term = claim.term;
-    this.#position = claim.term + 1;
-    this.#guard = TermGuard.create(nowMs);
-    this.#writtenAt = nowMs;
-    this.#inherited = claim.inherited;
-    const { self } = parts;
+    const { self, store, log } = parts;
+    this.#records = new OwnershipLog({
+      self,
+      store,
+      log,
+      term: claim.term,
+      onFollowed: () => this.end("another router has claimed"),
+    });
+    this.#beats = new MemberBeats({
+      log,
+      makeContext: () => this.#makeBeatContext(),
+      onAnswer: (answer, router) => this.#takeAnswer(answer, router),
+    });
     const known = claim.inherited?.routers ?? [];
     this.#routers = [...known.filter((r) => r.node !== self.node), self];
     this.#predecessors = Predecessors.restore(claim.inherited, {
@@ -112,11 +106,8 @@
       claimedMs: nowMs,
     });
     this.#restoreKeepers(claim.inherited, nowMs);
-    for (const router of this.#routers) this.#addMember(router);
-  }
-
-  get term(): number {
-    return this.#term;
+    const others = this.#routers.filter((r) => r.node !== self.node);
+    for (const router of others) this.#beats.add(router);
   }
 
   get routers(): readonly RouterRef[] {
@@ -135,20 +126,18 @@
   join(router: RouterRef): void {
     const others = this.#routers.filter((r) => r.node !== router.node);
     this.#routers = [...others, router];
-    this.#members.get(router.node)?.link.close();
-    this.#addMember(router);
+    this.#beats.add(router);
     this.#clear((p) =>
       p.node === router.node && p.incarnation !== router.incarnation
     );
-    this.#sendBeat(this.#members.get(router.node)!);
+    this.#beats.tick();
   }
 
   /** Ends the term: another router has claimed, or this one stops. */
   end(reason: string): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
-    clearInterval(this.#timer);
-    for (const { link } of this.#members.values()) link.close();
+    this.#close();
     this.#parts.log.record("coordinatorEnd", { term: this.#term, reason });
     this.#parts.onEnd(reason);
   }
@@ -164,19 +153,25 @@
       await pause(TICK_MS);
     }
     if (this.#hasEnded) return;
-    clearInterval(this.#timer);
     this.#hasEnded = true;
+    clearInterval(this.#timer);
     const record = encodeRecord({ ...this.#makeRecord(), resigned: true });
     const result = await this.#parts.store.appendOwnership(
       record,
-      this.#position,
+      this.#records.position,
     );
     this.#parts.log.record("resigned", {
       term: this.#term,
       end: result.end,
       problem: result.problem,
     });
-    for (const { link } of this.#members.values()) link.close();
+    this.#close();
+  }
+
+  #close(): void {
+    clearInterval(this.#timer);
+    this.#records.end();
+    this.#beats.end();
   }
 
   #hearsStore(): boolean {
@@ -208,28 +203,18 @@
     this.#parts.log.record("predecessorsEnded", { term: this.#term });
   }
 
-  #addMember(router: RouterRef): void {
-    if (router.node === this.#parts.self.node) return;
-    const link = new MemberLink(router);
-    this.#members.set(router.node, { link, nextMs: 0, isLost: false });
-  }
-
   #tick(): void {
     if (this.#hasEnded) return;
     const nowMs = performance.now();
     if (this.#pauses.check(nowMs, Date.now())) {
-      this.#guard.doubt(performance.now());
       this.#parts.log.record("paused", { term: this.#term });
-      void this.#prove();
+      void this.#records.doubt();
     }
     this.#addServices();
     this.#plan(nowMs);
-    if (this.#guard.mayGrant(nowMs)) this.#sendCalls(nowMs);
+    if (this.#records.mayGrant(nowMs)) this.#sendCalls(nowMs);
     this.#publish();
-    for (const member of this.#members.values()) {
-      if (nowMs >= member.nextMs) this.#sendBeat(member);
-    }
-    this.#isDirty = false;
+    this.#beats.tick();
   }
 
   #addServices(): void {
@@ -256,7 +241,7 @@
       const planned = this.#planService(service, keeper, { nowMs, balance });
       if (planned.length > 0) changes.set(service, planned);
     }
-    const isOld = nowMs - this.#writtenAt > RECORD_REFRESH_MS;
+    const isOld = nowMs - this.#records.writtenAt > RECORD_REFRESH_MS;
     if (changes.size > 0 || isOld) void this.#write(changes);
   }
 
@@ -297,16 +282,14 @@
   async #write(changes: ReadonlyMap<string, readonly OwnerChange[]>) {
     this.#isWriting = true;
     try {
-      const at = this.#position;
-      const fence = at + 1;
+      const fence = this.#records.position + 1;
       const nowMs = performance.now();
       const text = encodeRecord(
         this.#makeRecord((service, keeper) =>
           keeper.preview(changes.get(service) ?? [], { nowMs, fence })
         ),
       );
-      const result = await this.#append(text, at);
-      if (!result || this.#hasEnded) return;
+      if (!await this.#records.append(text) || this.#hasEnded) return;
       for (const [service, list] of changes) {
         this.#keepers.get(service)?.commit(list, {
           nowMs: performance.now(),
@@ -338,84 +321,13 @@
     };
   }
 
-  /** Appends a record; returns whether it is in the store. */
-  async #append(text: string, at: number): Promise<boolean> {
-    while (!this.#hasEnded) {
-      const sentAt = performance.now();
-      const result = await this.#parts.store.appendOwnership(text, at);
-      const isDone = result.end === StoreEnd.Done ||
-        result.end === StoreEnd.WrongEnd && await this.#isWritten(text, at);
-      if (isDone) {
-        this.#position = at + 1;
-        this.#guard.prove(sentAt);
-        this.#writtenAt = performance.now();
-        return true;
-      }
-      this.#parts.log.record("appendFailed", {
-        end: result.end,
-        problem: result.problem,
-      });
-      await pause(STORE_RETRY_MS);
-      // Only a call without an answer has to be sent again as it was.
-      if (result.end !== StoreEnd.Unknown) return false;
-    }
-    return false;
-  }
-
-  /** Whether the record at a position is this one. */
-  async #isWritten(text: string, at: number): Promise<boolean> {
-    const read = await this.#parts.store.readOwnership({
-      position: at,
-      waitMs: 0,
-    });
-    if (read.end !== StoreEnd.Done) return false;
-    const items = read.value?.items.filter((e) => e.offset >= at) ?? [];
-    if (items.some((e) => !this.#isOwn(e.text))) {
-      // Whoever came after has read the record, if it is there, and acts on it.
-      this.end("another router has claimed");
-      return false;
-    }
-    const found = items[0];
-    if (found?.text === text) return true;
-    // An earlier record of ours, from a call that had no answer. It names
-    // changes that were never granted; the next record replaces it.
-    if (found) this.#position = found.offset + 1;
-    return false;
-  }
-
-  #isOwn(text: string): boolean {
-    return readCoordinator(text)?.incarnation === this.#parts.self.incarnation;
-  }
-
-  /** Finds out whether this is still the newest term. */
-  async #prove(): Promise<void> {
-    while (this.#guard.isInDoubt && !this.#hasEnded) {
-      await this.#readOwnership(0);
-      if (this.#guard.isInDoubt) await pause(STORE_RETRY_MS);
-    }
-  }
-
   async #followOwnership(): Promise<void> {
     while (!this.#hasEnded) {
-      const isRead = await this.#readOwnership(CONFIGURATION_WAIT_MS);
+      const isRead = await this.#records.read(CONFIGURATION_WAIT_MS);
       await pause(isRead ? TICK_MS : STORE_RETRY_MS);
     }
   }
 
-  /** Ends the term if another router has written a record. */
-  async #readOwnership(waitMs: number): Promise<boolean> {
-    const sentAt = performance.now();
-    const position = this.#position;
-    const read = await this.#parts.store.readOwnership({ position, waitMs });
-    if (read.end !== StoreEnd.Done || !read.value) return false;
-    const other = read.value.items.find((e) =>
-      e.offset >= position && !this.#isOwn(e.text)
-    );
-    if (other) this.end("another router has claimed");
-    else this.#guard.prove(sentAt);
-    return true;
-  }
-
   #sendCalls(nowMs: number): void {
     const view = this.#parts.knowledge.servers;
     for (const [service, keeper] of this.#keepers) {
@@ -442,10 +354,7 @@
         problem: result.problem,
       });
     }
-    if (result.end === LeaseCallEnd.Fenced && !this.#guard.isInDoubt) {
-      this.#guard.doubt(performance.now());
-      void this.#prove();
-    }
+    if (result.end === LeaseCallEnd.Fenced) void this.#records.doubt();
     if (call.kind === LeaseCallKind.Release || keeper.isChanged) this.#tick();
   }
 
@@ -459,69 +368,32 @@
       owners.set(service, keeper.makeTable());
     }
     if (!owners) return;
-    knowledge.putOwners(owners, `${this.#term}/${this.#position}`);
-    this.notifyAll();
+    knowledge.putOwners(owners, `${this.#term}/${this.#records.position}`);
+    this.#beats.notifyAll();
   }
 
-  /** Sends news to all routers at once. */
-  notifyAll(): void {
-    for (const member of this.#members.values()) {
-      if (!member.isLost) member.nextMs = 0;
-    }
-    if (!this.#isDirty) setImmediate(() => this.#sendDue());
-    this.#isDirty = true;
-  }
-
-  #sendDue(): void {
-    this.#isDirty = false;
-    const nowMs = performance.now();
-    for (const member of this.#members.values()) {
-      if (nowMs >= member.nextMs) this.#sendBeat(member);
-    }
-  }
-
-  #sendBeat(member: Member): void {
-    if (member.link.isBusy || this.#hasEnded) return;
+  #makeBeatContext(): BeatContext {
     const nowMs = performance.now();
-    member.nextMs = nowMs + BEAT_MS;
-    member.link.send({
+    return {
       term: this.#term,
       coordinator: this.#parts.self,
       routers: this.#routers,
       knowledge: this.#parts.knowledge,
       nowMs,
       barred: this.#crashes.listBarred(nowMs),
-    }).then(
-      (answer) => {
-        this.#setLost(member, false);
-        if (answer.term > this.#term) {
-          return this.end("a router knows a higher term");
-        }
-        const { router } = answer;
-        this.#clear((p) =>
-          p.node === router.node && answer.term === this.#term
-        );
-        if (router.incarnation !== member.link.router.incarnation) {
-          this.join(router);
-        }
-        this.#book.addReport(answer.keys, answer.times);
-        this.#crashes.add(answer.crashes, performance.now());
-      },
-      (error: unknown) => {
-        if (!(error instanceof PeerFailure)) throw error;
-        this.#setLost(member, true, error);
-      },
-    );
+    };
   }
 
-  #setLost(member: Member, isLost: boolean, failure?: PeerFailure): void {
-    if (isLost) member.nextMs = performance.now() + LOST_MEMBER_RETRY_MS / 2;
-    if (member.isLost === isLost) return;
-    member.isLost = isLost;
-    this.#parts.log.record(isLost ? "routerLost" : "routerRegained", {
-      router: member.link.router.node,
-      problem: failure?.message,
-    });
+  /** `known`: the router that the beat was sent to. */
+  #takeAnswer(answer: BeatAnswer, known: RouterRef): void {
+    if (answer.term > this.#term) {
+      return this.end("a router knows a higher term");
+    }
+    const { router } = answer;
+    this.#clear((p) => p.node === router.node && answer.term === this.#term);
+    if (router.incarnation !== known.incarnation) this.join(router);
+    this.#book.addReport(answer.keys, answer.times);
+    this.#crashes.add(answer.crashes, performance.now());
   }
 
   #takeOwnReport(): void {
@@ -540,7 +412,7 @@
       const before = this.#parts.knowledge.servers;
       const isRead = await this.#parts.reader.readServers();
       const after = this.#parts.knowledge.servers;
-      if (after.listChangesSince(before).length > 0) this.notifyAll();
+      if (after.listChangesSince(before).length > 0) this.#beats.notifyAll();
       await pause(isRead ? SERVERS_READ_MS : STORE_RETRY_MS);
     }
   }
@@ -551,7 +423,7 @@
       const wait = version === undefined ? 0 : CONFIGURATION_WAIT_MS;
       const isRead = await this.#parts.reader.readConfiguration(wait);
       const now = this.#parts.knowledge.routes?.version;
-      if (now !== version) this.notifyAll();
+      if (now !== version) this.#beats.notifyAll();
       else if (!isRead || now === undefined) await pause(STORE_RETRY_MS);
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -163,10 +163,11 @@
     return isReady;
   }
 
+  /** Whether the keys of each sharded service have been divided. */
   #hasOwners(): boolean {
     const { routes, owners } = this.#knowledge;
     return routes!.listServices().every((s) =>
-      !s.sharded || owners.has(s.name)
+      !s.sharded || owners.get(s.name)?.hasOwner
     );
   }
 
--- a/packages/ranges/src/owner_table.ts
+++ b/packages/ranges/src/owner_table.ts
@@ -20,6 +20,11 @@
     return new OwnerTable([...ranges].sort((a, b) => a.from - b.from));
   }
 
+  /** Whether any server owns keys. */
+  get hasOwner(): boolean {
+    return this.#ranges.some((r) => r.server !== undefined);
+  }
+
   list(): readonly OwnedRange[] {
     return this.#ranges;
   }
--- a/packages/ranges/src/range_keeper.ts
+++ b/packages/ranges/src/range_keeper.ts
@@ -17,6 +17,7 @@
   planBalance,
   summarizeBalance,
 } from "./balance.js";
+import { divide, planOwners } from "./division.js";
 import { FirstDivision } from "./first_division.js";
 import type { KeyLoad } from "./key_load.js";
 import {
@@ -61,8 +62,6 @@
 const MIN_MOVES = 10;
 /** The same for each server. */
 const MOVES_PER_SERVER = 1 / 3;
-/** A lost server's range is spread over this many servers at the most. */
-const MAX_SPREAD = 3;
 /** Ranges are cut as long as there are fewer for each server. */
 const MAX_RANGES_PER_SERVER = 6;
 /** Neighbours of one server are joined if there are more for each server. */
@@ -311,21 +310,13 @@
       if (known === undefined) continue;
       loads.set(a.owner!.id, known + context.load.sum(a.from, a.to));
     }
-    const changes: OwnerChange[] = [];
-    const mayCut = this.#mayCut(candidates.length);
-    for (const a of this.#list) {
-      if (!this.#needsOwner(a, context)) continue;
-      const pieces = mayCut
-        ? spread(a, context.load)
-        : [[a.from, a.to] as const];
-      for (const [from, to] of pieces) {
-        const owner = chooseIdle(candidates, loads);
-        const load = context.load.sum(from, to) + 1e-3 * (to - from + 1);
-        loads.set(owner.id, (loads.get(owner.id) ?? 0) + load);
-        changes.push({ from, to, owner: { id: owner.id, born: owner.born } });
-      }
-    }
-    return changes;
+    const ranges = this.#list.filter((a) => this.#needsOwner(a, context));
+    return planOwners(ranges, {
+      candidates,
+      loads,
+      load: context.load,
+      mayCut: this.#mayCut(candidates.length),
+    });
   }
 
   #needsOwner(a: Assignment, context: PlanContext): boolean {
@@ -507,43 +498,3 @@
 function nameCall(call: LeaseCall): string {
   return nameRange(call.kind, call, call.server.id);
 }
-
-/** Divides all keys in proportion to what servers can do. */
-function divide(candidates: readonly OwnerCandidate[]): readonly OwnerChange[] {
-  const total = candidates.reduce((sum, c) => sum + c.capacity, 0);
-  let from = 0;
-  let share = 0;
-  return candidates.map(({ id, born, capacity }, i) => {
-    share += capacity / total;
-    const isLast = i === candidates.length - 1;
-    const to = isLast ? KEY_COUNT - 1 : Math.floor(share * KEY_COUNT) - 1;
-    const change = { from, to, owner: { id, born } };
-    from = to + 1;
-    return change;
-  });
-}
-
-function chooseIdle(
-  candidates: readonly OwnerCandidate[],
-  loads: ReadonlyMap<string, number>,
-): OwnerCandidate {
-  const use = (c: OwnerCandidate) => (loads.get(c.id) ?? 0) / c.capacity;
-  return candidates.reduce((best, c) => use(c) < use(best) ? c : best);
-}
-
-/** Cuts a range into pieces of about the same load. */
-function spread(
-  range: Assignment,
-  load: KeyLoad,
-): readonly (readonly [number, number])[] {
-  const total = load.sum(range.from, range.to);
-  const pieces: (readonly [number, number])[] = [];
-  let from = range.from;
-  for (let left = MAX_SPREAD; left > 1 && total > 0; left--) {
-    const end = load.findEnd(from, range.to, load.sum(from, range.to) / left);
-    if (end < from || end >= range.to) break;
-    pieces.push([from, end]);
-    from = end + 1;
-  }
-  return [...pieces, [from, range.to]];
-}
