gateway: Log stalls of the event loop, and when a client left

Cause: the log could not tell whether a request that reached its server late had been read late, held, or delayed on the link. Change: an event stall with its duration, two metrics of stalls, and in each line of a request when the last exchange began and when the client was found to have left. A request that ends because its client left has the outcome clientLeft; it was unknown, like a deadline that passed.

--- a/packages/gateway/src/client_call.ts
+++ b/packages/gateway/src/client_call.ts
@@ -40,12 +40,14 @@
   mayHaveRun = false;
   /** Whether an exchange with a server is in progress. */
   isSending = false;
+  /** Monotonic time at which the last exchange began, ms. */
+  sentAtMs: number | undefined;
   readonly #response: ServerResponse;
   readonly #cancel = new AbortController();
   readonly #timer: NodeJS.Timeout;
   readonly #isClosing: () => boolean;
   #status: number | undefined;
-  #hasClientLeft = false;
+  #clientLeftAtMs: number | undefined;
   onTimeout: () => void = () => {};
   onClientLeft: () => void = () => {};
 
@@ -84,7 +86,12 @@
   }
 
   get hasClientLeft(): boolean {
-    return this.#hasClientLeft;
+    return this.#clientLeftAtMs !== undefined;
+  }
+
+  /** Monotonic time at which the client was found to have left, ms. */
+  get clientLeftAtMs(): number | undefined {
+    return this.#clientLeftAtMs;
   }
 
   get status(): number | undefined {
@@ -136,7 +143,7 @@
   #handleClose(): void {
     clearTimeout(this.#timer);
     if (this.isAnswered) return;
-    this.#hasClientLeft = true;
+    this.#clientLeftAtMs = performance.now();
     this.onClientLeft();
   }
 }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -190,6 +190,7 @@
     call.onClientLeft = () => isRepeatable && call.cancel();
     if (call.hasClientLeft) call.cancel();
     call.isSending = true;
+    call.sentAtMs = performance.now();
     const result = await runExchange({
       agent: agents.get(server.id),
       address: server.address,
@@ -287,6 +288,7 @@
   }
 
   #fail(call: ClientCall, result: ExchangeResult): void {
+    if (call.hasClientLeft) return this.#log(call, "clientLeft", result);
     if (call.mayHaveRun) {
       const isLate = result.end === ExchangeEnd.TimedOut;
       call.answer(isLate ? RouterStatus.TimedOut : RouterStatus.Unknown);
@@ -368,6 +370,8 @@
       unframed: result?.answer?.isUnframed || undefined,
       ms: Math.round(nowMs - call.arrivedMs),
       leftMs: Math.round(call.deadlineMs - nowMs),
+      sentMs: computeOffset(call, call.sentAtMs),
+      clientLeftMs: computeOffset(call, call.clientLeftAtMs),
       version: cluster.routes?.version,
       owners: cluster.ownersVersion,
       serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
@@ -375,6 +379,14 @@
   }
 }
 
+/** Returns the time since the request's arrival at `atMs`, ms. */
+function computeOffset(
+  call: ClientCall,
+  atMs: number | undefined,
+): number | undefined {
+  return atMs === undefined ? undefined : Math.round(atMs - call.arrivedMs);
+}
+
 /** A finished exchange with a server. */
 interface CompletedExchange {
   readonly server: ServerEntry;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 import { Dispatcher } from "./dispatcher.js";
 import { FeedReader } from "./feed_reader.js";
 import { Frontend } from "./frontend.js";
+import { LoopMonitor } from "./loop_monitor.js";
 import { ClusterState, ClusterStatePart } from "./cluster_state.js";
 import { Member } from "./member.js";
 import { PeerServer } from "./peer_link.js";
@@ -52,6 +53,7 @@
   readonly #stats = new TrafficStats();
   readonly #agents = new ServerAgents();
   readonly #metrics = new RequestMetrics();
+  readonly #loop: LoopMonitor;
   readonly #member: Member;
   readonly #front: Frontend;
   readonly #placer: Placer;
@@ -67,6 +69,7 @@
     const cluster = this.#cluster;
     const stats = this.#stats;
     const self = makeRouterRef(settings);
+    this.#loop = new LoopMonitor(log);
     const reader = new FeedReader(store, cluster, {
       log,
       heartbeatMs: settings.serverHeartbeatMs,
@@ -186,6 +189,7 @@
       "/metrics": () => ({ status: 200, text: this.#formatMetrics() }),
     };
     const add = this.#lifeCycle;
+    add.add("loop", this.#loop);
     add.add("placer", this.#placer);
     add.add(
       "peers",
@@ -224,6 +228,8 @@
       ["jaytiller_coordinator", this.#member.isCoordinator ? 1 : 0],
       ["jaytiller_term", this.#member.term],
       ["jaytiller_routers", this.#member.routerCount],
+      ["jaytiller_loop_stalls", this.#loop.stalls],
+      ["jaytiller_loop_stalled_seconds", this.#loop.stalledMs / 1000],
     ];
     const gauges = values.map(([name, value]) => `${name} ${value}\n`);
     return gauges.join("") + this.#metrics.format();
