--- a/packages/kernel/src/event_log.ts
+++ b/packages/kernel/src/event_log.ts
@@ -14,6 +14,10 @@
   Notable = "notable",
 }
 
+const LINE_FEED = 0x0a;
+/** Delay before a write to a full pipe is repeated, ms. */
+const RETRY_DELAY_MS = 20;
+
 /** Destination and volume limits of an event log. */
 export interface EventLogOptions {
   /** Name of the process in each line. */
@@ -100,7 +104,11 @@
   #writeBytes(bytes: Buffer): void {
     write(this.#options.fd, bytes, 0, bytes.length, null, (error, written) => {
       // EAGAIN: the pipe is non-blocking and full.
-      if (error && error.code !== "EAGAIN") this.#dropped += 1;
+      if (error?.code === "EAGAIN") {
+        setTimeout(() => this.#writeBytes(bytes), RETRY_DELAY_MS).unref();
+        return;
+      }
+      if (error) this.#dropped += countLines(bytes);
       const rest = error ? undefined : bytes.subarray(written);
       if (rest && rest.length > 0) return this.#writeBytes(rest);
       this.#isWriting = false;
@@ -108,3 +116,9 @@
     });
   }
 }
+
+function countLines(bytes: Buffer): number {
+  let lines = 0;
+  for (const byte of bytes) if (byte === LINE_FEED) lines += 1;
+  return lines;
+}
