gateway: Send nothing for a client that has left unread

Callers saw: requests of clients that had closed their connections reached servers up to 0.8 s later, payments and other work that may run once included. Cause: a gateway that is behind finds a request and the end of its connection unread in the same socket. It reads the request in one turn of the event loop, sends it at once, and reads the end in the next turn. The class: acting on knowledge that is as old as the loop's delay. Besides, the leaving reached a request only through its response's close, which a second request on the connection never gets, and a request that may run once was sent even if the client had left while the connection to the server was still being made. Change: the gateway measures how late its loop is. While input may be old it reads what has arrived before it writes a request to a server, and then writes nothing for a client that has left. A request is written only once the connection is made; until then leaving or the deadline ends any exchange as unsent, which says nothing about the server, and a refusal after it is true. Leaving is taken from the connection's end, for each request on it.

--- a/packages/gateway/src/client_call.ts
+++ b/packages/gateway/src/client_call.ts
@@ -38,9 +38,9 @@
   readonly triedServers: string[] = [];
   /** Whether some server may have run the request. */
   mayHaveRun = false;
-  /** Whether an exchange with a server is in progress. */
-  isSending = false;
-  /** Monotonic time at which the last exchange began, ms. */
+  /** Whether an exchange that has written the request is in progress. */
+  isSent = false;
+  /** Monotonic time at which the request was last written, ms. */
   sentAtMs: number | undefined;
   readonly #response: ServerResponse;
   readonly #cancel = new AbortController();
@@ -73,7 +73,9 @@
       () => this.onTimeout(),
       allowedMs + TIMEOUT_GRACE_MS,
     );
-    response.on("close", () => this.#handleClose());
+    const { socket } = request;
+    socket.once("end", this.#handleLeaving);
+    socket.once("close", this.#handleLeaving);
   }
 
   /** Aborted once a server's response is no longer needed. */
@@ -102,6 +104,11 @@
     this.#cancel.abort();
   }
 
+  /** Notices a closed connection before its `close` event. */
+  checkConnection(): void {
+    if (this.request.socket.destroyed) this.#handleLeaving();
+  }
+
   /** Forwards a server's response to the client. */
   deliver(answer: ServerAnswer): void {
     if (this.isAnswered) return;
@@ -133,19 +140,26 @@
 
   #end(status: number): void {
     this.#status = status;
+    this.#stopWatching();
+  }
+
+  #stopWatching(): void {
     clearTimeout(this.#timer);
+    const { socket } = this.request;
+    socket.removeListener("end", this.#handleLeaving);
+    socket.removeListener("close", this.#handleLeaving);
   }
 
   #listConnectionHeaders(): string[] {
     return this.#isClosing() ? ["Connection", "close"] : [];
   }
 
-  #handleClose(): void {
-    clearTimeout(this.#timer);
-    if (this.isAnswered) return;
+  readonly #handleLeaving = () => {
+    this.#stopWatching();
+    if (this.isAnswered || this.hasClientLeft) return;
     this.#clientLeftAtMs = performance.now();
     this.onClientLeft();
-  }
+  };
 }
 
 /** Options of a `ClientCall`. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -17,6 +17,7 @@
   runExchange,
 } from "./exchange.js";
 import type { ClusterState } from "./cluster_state.js";
+import type { LoopMonitor } from "./loop_monitor.js";
 import type { Placer, Refusal } from "./placer.js";
 import { RefusalReason } from "./placer.js";
 import type { RequestMetadata, RequestProtocol } from "./ports.js";
@@ -35,6 +36,7 @@
   readonly agents: ServerAgents;
   readonly protocol: RequestProtocol;
   readonly log: EventLog;
+  readonly loop: LoopMonitor;
   readonly metrics: RequestMetrics;
   /** Returns the number of routers that share the retry budget. */
   readonly countRouters: () => number;
@@ -141,6 +143,7 @@
     if (end === BodyEnd.CutShort || call.isAnswered) {
       return this.#log(call, "bodyCutShort");
     }
+    if (call.hasClientLeft) return this.#log(call, "clientLeft");
     this.#countRequest(call);
     if (this.#isBarred(call, body)) {
       call.answer(RouterStatus.Refused, BARRED_RETRY_AFTER_MS);
@@ -169,7 +172,7 @@
         call.deliver(result.answer!);
         return this.#log(call, "answered", result);
       }
-      if (result.end === ExchangeEnd.NotSent) unsent += 1;
+      if (NOT_WRITTEN.has(result.end)) unsent += 1;
       if (!this.#isRetryAllowed(call, result.end, unsent)) {
         return this.#fail(call, result);
       }
@@ -186,11 +189,8 @@
     const { agents, protocol, stats, placer } = this.#options;
     const leftMs = Math.max(1, Math.floor(call.deadlineMs - performance.now()));
     const isRepeatable = call.route.kind === RequestKind.Idempotent;
-    // A non-idempotent request is not cancelled, even if its client has left.
-    call.onClientLeft = () => isRepeatable && call.cancel();
+    call.onClientLeft = () => call.cancel();
     if (call.hasClientLeft) call.cancel();
-    call.isSending = true;
-    call.sentAtMs = performance.now();
     const result = await runExchange({
       agent: agents.get(server.id),
       address: server.address,
@@ -201,9 +201,16 @@
       attemptId: call.metadata.attemptId,
       timeoutMs: leftMs + ANSWER_GRACE_MS,
       signal: call.signal,
+      // Once written, a request that may run only once runs to its end.
+      isRepeatable,
+      confirmNeed: () => this.#confirmClient(call),
+      onWrite: () => {
+        call.isSent = true;
+        call.sentAtMs = performance.now();
+      },
     }, protocol);
-    call.isSending = false;
-    if (result.end !== ExchangeEnd.NotSent) call.triedServers.push(server.id);
+    call.isSent = false;
+    if (!NOT_WRITTEN.has(result.end)) call.triedServers.push(server.id);
     if (MAY_HAVE_RUN.has(result.end)) call.mayHaveRun = true;
     stats.get(server.id).end(EXCHANGE_SIGNS[result.end](result), {
       nowMs: performance.now(),
@@ -214,6 +221,16 @@
     return result;
   }
 
+  /**
+   * Makes sure that the client is known to have left if it has: input that
+   * arrived while the event loop was behind is read first.
+   */
+  #confirmClient(call: ClientCall): Promise<void> | undefined {
+    const { loop } = this.#options;
+    if (!loop.isInputOld()) return undefined;
+    return loop.readPendingInput().then(() => call.checkConnection());
+  }
+
   #makeHeaders(
     call: ClientCall,
     send: { server: ServerEntry; body: Buffer; leftMs: number },
@@ -266,7 +283,7 @@
     if (call.isAnswered || call.hasClientLeft) return false;
     const nowMs = performance.now();
     if (call.deadlineMs - nowMs < MIN_RETRY_TIME_MS) return false;
-    if (end === ExchangeEnd.NotSent) return unsent < MAX_CONNECT_FAILURES;
+    if (NOT_WRITTEN.has(end)) return unsent < MAX_CONNECT_FAILURES;
     if (MAY_HAVE_RUN.has(end) && call.route.kind !== RequestKind.Idempotent) {
       return false;
     }
@@ -319,9 +336,9 @@
 
   /** Answers a request whose deadline has passed. */
   #timeOut(call: ClientCall): void {
-    const wasSent = call.mayHaveRun || call.isSending;
+    call.cancel();
+    const wasSent = call.mayHaveRun || call.isSent;
     call.answer(wasSent ? RouterStatus.TimedOut : RouterStatus.Refused);
-    if (call.route.kind === RequestKind.Idempotent) call.cancel();
     this.#log(call, "timedOut");
   }
 
@@ -420,6 +437,12 @@
   noRoute: { status: RouterStatus.NotFound },
 };
 
+/** Results after which no server has received any byte of the request. */
+const NOT_WRITTEN: ReadonlySet<ExchangeEnd> = new Set([
+  ExchangeEnd.NotSent,
+  ExchangeEnd.Unsent,
+]);
+
 /** Results after which a server may have run the request. */
 const MAY_HAVE_RUN: ReadonlySet<ExchangeEnd> = new Set([
   ExchangeEnd.Broken,
@@ -439,6 +462,7 @@
   [ExchangeEnd.NotRun]: (r) =>
     r.answer?.status === 503 ? ExchangeOutcome.Full : ExchangeOutcome.None,
   [ExchangeEnd.NotSent]: () => ExchangeOutcome.Unreachable,
+  [ExchangeEnd.Unsent]: () => ExchangeOutcome.None,
   [ExchangeEnd.Broken]: () => ExchangeOutcome.Failure,
   [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Failure,
   [ExchangeEnd.Cancelled]: () => ExchangeOutcome.None,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,6 +15,11 @@
   NotRun = "notRun",
   /** No connection was made, so the server received nothing. */
   NotSent = "notSent",
+  /**
+   * Nothing was written, for a reason that says nothing about the server: the
+   * response is no longer needed, or a kept connection had closed.
+   */
+  Unsent = "unsent",
   /** No usable response arrived; the request may have run. */
   Broken = "broken",
   /** No response arrived in time; the request may have run. */
@@ -56,7 +61,19 @@
   readonly attemptId: string | undefined;
   /** Time within which the complete response must arrive, ms. */
   readonly timeoutMs: number;
+  /**
+   * Aborted once the response is no longer needed. Ends the exchange if nothing
+   * was written yet, or if the request may run again.
+   */
   readonly signal: AbortSignal;
+  readonly isRepeatable: boolean;
+  /**
+   * Waits until it is known whether the response is still needed. Returns
+   * `undefined` if it is known already.
+   */
+  readonly confirmNeed: () => Promise<void> | undefined;
+  /** Called immediately before the request is written. */
+  readonly onWrite: () => void;
 }
 
 /**
@@ -131,6 +148,7 @@
   readonly #startedAt = performance.now();
   #request: ClientRequest | undefined;
   #isConnected = false;
+  #isWritten = false;
   #hasResponse = false;
   #isFinished = false;
   #connectTimer: NodeJS.Timeout | undefined;
@@ -148,7 +166,7 @@
 
   start(): void {
     const options = this.#options;
-    if (options.signal.aborted) return this.#finish(ExchangeEnd.Cancelled);
+    if (options.signal.aborted) return this.#finish(ExchangeEnd.Unsent);
     const [host, port] = options.address.split(":");
     this.#request = sendRequest({
       agent: options.agent,
@@ -162,39 +180,50 @@
     this.#watchRequest(this.#request);
     options.signal.addEventListener("abort", this.#onAbort);
     this.#timer = setTimeout(
-      () => this.#fail(ExchangeEnd.TimedOut, "no answer in time"),
+      () => this.#failWritten(ExchangeEnd.TimedOut, "no answer in time"),
       options.timeoutMs,
     );
-    if (options.body.length > 0) this.#request.end(options.body);
-    else this.#request.end();
   }
 
-  readonly #onAbort = () => this.#fail(ExchangeEnd.Cancelled, "cancelled");
+  readonly #onAbort = () => {
+    if (this.#isWritten && !this.#options.isRepeatable) return;
+    this.#failWritten(ExchangeEnd.Cancelled, "cancelled");
+  };
+
+  /** Writes the request, once it is certain that its response is needed. */
+  async #write(): Promise<void> {
+    this.#isConnected = true;
+    await this.#options.confirmNeed();
+    if (this.#isFinished) return;
+    this.#isWritten = true;
+    const { body, onWrite } = this.#options;
+    onWrite();
+    if (body.length > 0) this.#request!.end(body);
+    else this.#request!.end();
+  }
 
   #watchRequest(request: ClientRequest): void {
     request.on("socket", (socket) => {
-      if (!socket.connecting) {
-        this.#isConnected = true;
-        return;
-      }
+      if (!socket.connecting) return void this.#write();
       this.#connectTimer = setTimeout(
         () => this.#fail(ExchangeEnd.NotSent, "no connection in time"),
         CONNECT_TIMEOUT_MS,
       );
       socket.setNoDelay(true);
       socket.once("connect", () => {
-        this.#isConnected = true;
         clearTimeout(this.#connectTimer);
+        void this.#write();
       });
     });
     request.on("response", (response) => this.#readAnswer(response));
     request.on("error", (error: NodeJS.ErrnoException) => {
-      const end = this.#isConnected ? ExchangeEnd.Broken : ExchangeEnd.NotSent;
-      this.#fail(end, error.code ?? error.message);
+      const problem = error.code ?? error.message;
+      if (!this.#isConnected) this.#fail(ExchangeEnd.NotSent, problem);
+      else this.#failWritten(ExchangeEnd.Broken, problem);
     });
     request.on("close", () => {
       // A response that has begun reports its own end or failure.
-      if (!this.#hasResponse) this.#fail(ExchangeEnd.Broken, "closed");
+      if (!this.#hasResponse) this.#failWritten(ExchangeEnd.Broken, "closed");
     });
   }
 
@@ -239,6 +268,11 @@
     this.#finish(ExchangeEnd.Answered, { metadata, answer });
   }
 
+  /** Ends the exchange; it ends as `Unsent` if nothing was written. */
+  #failWritten(end: ExchangeEnd, problem: string): void {
+    this.#fail(this.#isWritten ? end : ExchangeEnd.Unsent, problem);
+  }
+
   /** Ends the exchange without a response and destroys the connection. */
   #fail(end: ExchangeEnd, problem: string): void {
     if (this.#isFinished) return;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -47,6 +47,8 @@
     });
     this.#server.on("connection", (socket) => {
       this.#sockets.add(socket);
+      // Each request that is in progress on the connection adds listeners.
+      socket.setMaxListeners(0);
       socket.on("close", () => this.#sockets.delete(socket));
     });
     cluster.onChange((part) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,6 +104,7 @@
       agents: this.#agents,
       protocol,
       log,
+      loop: this.#loop,
       metrics: this.#metrics,
       countRouters: () => this.#member.routerCount,
     });
