--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -23,6 +23,7 @@
 import type { RequestMetadata, RequestProtocol } from "./ports.js";
 import type { RequestMetrics } from "./request_metrics.js";
 import { BodyEnd, readBody } from "./request_body.js";
+import { ResponseBuffers } from "./response_limits.js";
 import type { ServerAgents } from "./server_agents.js";
 import type { GatewaySettings } from "./settings.js";
 import type { TrafficStats } from "./traffic_stats.js";
@@ -61,6 +62,7 @@
   readonly #options: DispatcherOptions;
   readonly #splits = new WeightedRoundRobin();
   readonly #budgets = new Map<string, RetryBudget>();
+  readonly #buffers = new ResponseBuffers();
   #open = 0;
   #isClosing = false;
   #isRefusing = false;
@@ -200,6 +202,7 @@
       body,
       attemptId: call.metadata.attemptId,
       timeoutMs: leftMs + ANSWER_GRACE_MS,
+      buffers: this.#buffers,
       signal: call.signal,
       // Once written, a request that may run only once runs to its end.
       isRepeatable,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,6 +6,7 @@
   request as sendRequest,
 } from "node:http";
 import type { RequestProtocol, ResponseMetadata } from "./ports.js";
+import { type ResponseBuffers, watchHead } from "./response_limits.js";
 
 /** How an exchange ended. */
 export enum ExchangeEnd {
@@ -61,6 +62,8 @@
   readonly attemptId: string | undefined;
   /** Time within which the complete response must arrive, ms. */
   readonly timeoutMs: number;
+  /** Counts the bodies of all exchanges. */
+  readonly buffers: ResponseBuffers;
   /**
    * Aborted once the response is no longer needed. Ends the exchange if nothing
    * was written yet, or if the request may run again.
@@ -177,6 +180,10 @@
       headers: options.headers as unknown as Record<string, string>,
       setHost: false,
     });
+    watchHead(
+      this.#request,
+      () => this.#failWritten(ExchangeEnd.Broken, "response head too large"),
+    );
     this.#watchRequest(this.#request);
     options.signal.addEventListener("abort", this.#onAbort);
     this.#timer = setTimeout(
@@ -185,6 +192,10 @@
     );
   }
 
+  readonly #body = {
+    discard: () => this.#fail(ExchangeEnd.Broken, "no memory for the answer"),
+  };
+
   readonly #onAbort = () => {
     if (this.#isWritten && !this.#options.isRepeatable) return;
     this.#failWritten(ExchangeEnd.Cancelled, "cancelled");
@@ -232,8 +243,10 @@
     const chunks: Buffer[] = [];
     let size = 0;
     response.on("data", (chunk: Buffer) => {
+      if (this.#isFinished) return;
       chunks.push(chunk);
       size += chunk.length;
+      this.#options.buffers.add(this.#body, chunk);
       if (size > MAX_ANSWER_BYTES) {
         this.#fail(ExchangeEnd.Broken, "answer too large");
       }
@@ -290,6 +303,7 @@
     clearTimeout(this.#timer);
     clearTimeout(this.#connectTimer);
     this.#options.signal.removeEventListener("abort", this.#onAbort);
+    this.#options.buffers.remove(this.#body);
     const latencyMs = performance.now() - this.#startedAt;
     this.#resolve({ end, latencyMs, ...rest });
   }
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,4 +4,5 @@
  */
 export { Gateway, type GatewayOptions } from "./gateway.js";
 export * from "./ports.js";
+export { watchHead } from "./response_limits.js";
 export type { GatewaySettings, ListenAddress } from "./settings.js";
--- /dev/null
+++ b/packages/gateway/src/response_limits.ts
@@ -0,0 +1,78 @@
+/** Limits of what a peer may send as a response. @module */
+import type { ClientRequest } from "node:http";
+
+/**
+ * Largest number of bytes before a response, with interim responses and empty
+ * lines, for which the HTTP parser has no limit.
+ */
+const MAX_HEAD_BYTES = 65_536;
+/** Memory that each received chunk takes beside its bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
+/** Memory that all responses in progress may take, bytes. */
+const MAX_BUFFERED_BYTES = 48 << 20;
+
+/** Calls `onExceeded` once if the head of the response is too large. */
+export function watchHead(
+  request: ClientRequest,
+  onExceeded: () => void,
+): void {
+  request.once("socket", (socket) => {
+    let bytes = 0;
+    let isDone = false;
+    const stop = () => {
+      isDone = true;
+      socket.removeListener("data", count);
+    };
+    const count = (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (isDone || bytes <= MAX_HEAD_BYTES) return;
+      stop();
+      onExceeded();
+    };
+    socket.on("data", count);
+    request.once("response", stop);
+    request.once("close", stop);
+  });
+}
+
+/** Body of a response in progress. */
+export interface BufferedBody {
+  /** Ends the exchange, because its body takes the most memory. */
+  readonly discard: () => void;
+}
+
+/**
+ * Bounds the memory of all response bodies that are being received. Above the
+ * bound the largest is discarded, so that a server whose body does not end does
+ * not take the responses of other servers with it.
+ */
+export class ResponseBuffers {
+  readonly #sizes = new Map<BufferedBody, number>();
+  #totalBytes = 0;
+
+  /** Memory in use, bytes. */
+  get totalBytes(): number {
+    return this.#totalBytes;
+  }
+
+  add(body: BufferedBody, chunk: Buffer): void {
+    const bytes = chunk.length + CHUNK_OVERHEAD_BYTES;
+    this.#sizes.set(body, (this.#sizes.get(body) ?? 0) + bytes);
+    this.#totalBytes += bytes;
+    if (this.#totalBytes > MAX_BUFFERED_BYTES) this.#findLargest().discard();
+  }
+
+  /** Called once the body is complete or discarded. */
+  remove(body: BufferedBody): void {
+    this.#totalBytes -= this.#sizes.get(body) ?? 0;
+    this.#sizes.delete(body);
+  }
+
+  #findLargest(): BufferedBody {
+    let [largest, most] = [undefined as BufferedBody | undefined, -1];
+    for (const [body, bytes] of this.#sizes) {
+      if (bytes > most) [largest, most] = [body, bytes];
+    }
+    return largest!;
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/exchange_test.ts
@@ -0,0 +1,232 @@
+/** Exchanges with servers that send bytes without end, or get none. */
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+import { test } from "node:test";
+import {
+  ExchangeEnd,
+  type ExchangeOptions,
+  type ExchangeResult,
+  runExchange,
+} from "../src/exchange.js";
+import type { RequestProtocol } from "../src/ports.js";
+import { ResponseBuffers } from "../src/response_limits.js";
+
+const TIMEOUT_MS = 1_000;
+/** Largest response body, bytes; with what lies in sockets beside it. */
+const MAX_RECEIVED_BYTES = (32 << 20) + (16 << 20);
+const HEAD = "HTTP/1.1 200 OK\r\nx-id: a\r\nx-signature: s\r\n";
+
+const protocol: RequestProtocol = {
+  parseRequestHeaders: () => ({}),
+  parseResponseHeaders: (headers) => ({
+    attemptId: String(headers["x-id"]),
+    isSigned: headers["x-signature"] !== undefined,
+    isNotRun: false,
+  }),
+  makeServerHeaders: () => [],
+  replacedHeaders: new Set(),
+  readyPath: "/ready",
+};
+
+interface EndlessCase {
+  readonly title: string;
+  readonly first: string;
+  /** Sent again and again until the gateway closes the connection. */
+  readonly rest: Buffer;
+  readonly end: ExchangeEnd;
+  /** Bound of what the gateway takes from the server, bytes. */
+  readonly maxBytes: number;
+  /** Pause between two parts, ms. */
+  readonly pauseMs?: number;
+}
+
+const LARGE_PART = Buffer.alloc(64 << 10, "x");
+const MAX_HEAD_BYTES = 8 << 20;
+
+const ENDLESS_CASES: readonly EndlessCase[] = [
+  {
+    title: "empty lines before a status line",
+    first: "",
+    rest: Buffer.from("\r\n".repeat(8_192)),
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_HEAD_BYTES,
+  },
+  {
+    title: "interim responses",
+    first: "",
+    rest: Buffer.from("HTTP/1.1 102 Processing\r\n\r\n".repeat(500)),
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_HEAD_BYTES,
+  },
+  {
+    title: "a header",
+    first: HEAD + "x-long: ",
+    rest: LARGE_PART,
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_HEAD_BYTES,
+  },
+  {
+    title: "bytes that are no response",
+    first: "",
+    rest: LARGE_PART,
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_HEAD_BYTES,
+  },
+  {
+    title: "a body without a length",
+    first: HEAD + "\r\n",
+    rest: LARGE_PART,
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_RECEIVED_BYTES,
+  },
+  {
+    title: "a body in chunks",
+    first: HEAD + "transfer-encoding: chunked\r\n\r\n",
+    rest: Buffer.concat([
+      Buffer.from("10000\r\n"),
+      LARGE_PART,
+      Buffer.from("\r\n"),
+    ]),
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_RECEIVED_BYTES,
+  },
+  {
+    title: "a body in chunks of one byte",
+    first: HEAD + "transfer-encoding: chunked\r\n\r\n",
+    rest: Buffer.from("1\r\nx\r\n".repeat(8_192)),
+    end: ExchangeEnd.Broken,
+    maxBytes: MAX_RECEIVED_BYTES,
+  },
+  {
+    title: "a head, a byte at a time",
+    first: HEAD + "x-long: ",
+    rest: Buffer.from("x"),
+    end: ExchangeEnd.TimedOut,
+    maxBytes: MAX_HEAD_BYTES,
+    pauseMs: 10,
+  },
+  {
+    title: "a body, a byte at a time",
+    first: HEAD + "\r\n",
+    rest: Buffer.from("x"),
+    end: ExchangeEnd.TimedOut,
+    maxBytes: MAX_HEAD_BYTES,
+    pauseMs: 10,
+  },
+];
+
+// Guards against a server whose bytes never end and that takes memory or time
+// without bound, or whose response counts as complete.
+for (const endless of ENDLESS_CASES) {
+  test(`endless response: ${endless.title}`, async () => {
+    const { server, address, sentBytes } = await startEndlessServer(endless);
+    const buffers = new ResponseBuffers();
+    const result = await exchange({ address, buffers });
+    server.close();
+    assert.equal(result.end, endless.end, result.problem);
+    assert.ok(result.latencyMs < TIMEOUT_MS + 500, `${result.latencyMs} ms`);
+    assert.ok(sentBytes() < endless.maxBytes, `${sentBytes()} bytes`);
+    assert.equal(buffers.totalBytes, 0);
+  });
+}
+
+/** Guards against endless bodies of several servers that add up. */
+test("endless responses of ten servers together stay bounded", async () => {
+  const body = ENDLESS_CASES.find((c) => c.title === "a body in chunks")!;
+  const servers = await Promise.all(
+    Array.from({ length: 10 }, () => startEndlessServer(body)),
+  );
+  const buffers = new ResponseBuffers();
+  let most = 0;
+  const timer = setInterval(() => most = Math.max(most, buffers.totalBytes), 1);
+  const results = await Promise.all(
+    servers.map(({ address }) => exchange({ address, buffers })),
+  );
+  clearInterval(timer);
+  for (const { server } of servers) server.close();
+  const ends = new Set(results.map((r) => r.end));
+  ends.delete(ExchangeEnd.TimedOut);
+  assert.deepEqual([...ends], [ExchangeEnd.Broken]);
+  assert.ok(most <= 48 << 20, `${most} bytes`);
+  assert.equal(buffers.totalBytes, 0);
+});
+
+/** Guards against bytes sent for a client that leaves while connecting. */
+test("nothing is sent if the need ends before the first byte", async () => {
+  for (const isRepeatable of [true, false]) {
+    let received = 0;
+    const server = createServer((socket) => {
+      socket.on("data", (chunk: Buffer) => received += chunk.length);
+      socket.on("error", () => {});
+    });
+    const address = await listen(server);
+    const cancel = new AbortController();
+    const result = await exchange({
+      address,
+      isRepeatable,
+      signal: cancel.signal,
+      confirmNeed: async () => {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+        cancel.abort();
+      },
+    });
+    server.close();
+    assert.equal(result.end, ExchangeEnd.Unsent);
+    assert.equal(received, 0);
+  }
+});
+
+function exchange(
+  options: Partial<ExchangeOptions> & { address: string },
+): Promise<ExchangeResult> {
+  return runExchange({
+    agent: new Agent(),
+    method: "GET",
+    target: "/",
+    headers: ["Host", "a"],
+    body: Buffer.alloc(0),
+    attemptId: "a",
+    timeoutMs: TIMEOUT_MS,
+    buffers: new ResponseBuffers(),
+    signal: new AbortController().signal,
+    isRepeatable: true,
+    confirmNeed: () => undefined,
+    onWrite: () => {},
+    ...options,
+  }, protocol);
+}
+
+async function startEndlessServer(endless: EndlessCase) {
+  let sent = 0;
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => sendEndlessly(socket));
+  });
+  const sendEndlessly = (socket: Socket) => {
+    socket.write(endless.first);
+    const send = () => {
+      if (socket.destroyed) return;
+      sent += endless.rest.length;
+      socket.write(endless.rest, () => {
+        if (endless.pauseMs === undefined) setImmediate(send);
+        else setTimeout(send, endless.pauseMs);
+      });
+    };
+    send();
+  };
+  return { server, address: await listen(server), sentBytes: () => sent };
+}
+
+function listen(server: Server): Promise<string> {
+  return new Promise((resolve) =>
+    server.listen(0, "127.0.0.1", () => {
+      resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    })
+  );
+}
