ranges: Repeat rejected lease calls ever more slowly

Cause: servers ended and their addresses went to servers of another service. The coordinator, which has to wait up to 15 s for its lost predecessor, asked these addresses for releases of 341 ranges every 250 ms; each was answered 400. Change: a call that is rejected in a row is repeated after 0.25, 0.5, 1 and 2 s. When a lease counts as ended is unchanged.

--- a/packages/ranges/src/assignment_manager.ts
+++ b/packages/ranges/src/assignment_manager.ts
@@ -62,6 +62,8 @@
 const LEASE_MARGIN_MS = 150;
 /** Delay before an unanswered or rejected call is sent again, ms. */
 const CALL_RETRY_MS = 250;
+/** Longest delay before a rejected call is repeated, ms. */
+const MAX_REJECTED_RETRY_MS = 2_000;
 /**
  * Consecutive unanswered calls after which a server is suspected of failure.
  */
@@ -112,7 +114,7 @@
   /** Calls in flight, by call key. */
   readonly #open = new Map<string, LeaseCall>();
   /** Earliest time of the next call, ms, by call key. */
-  readonly #next = new Map<string, number>();
+  readonly #next = new Map<string, CallSchedule>();
   /** Grants that servers fenced or rejected. */
   readonly #refused: LeaseCall[] = [];
   readonly #initialSplitDelay = new InitialSplitDelay();
@@ -283,7 +285,7 @@
     this.#pruneCallTimes(nowMs);
     const calls = this.#assignments
       .flatMap((a) => this.#listRangeCalls(a, view))
-      .filter((c) => (this.#next.get(formatCallKey(c)) ?? 0) <= nowMs);
+      .filter((c) => (this.#next.get(formatCallKey(c))?.dueMs ?? 0) <= nowMs);
     const due = [...calls, ...this.#listProbes(nowMs, view)]
       .filter((c) => !this.#open.has(formatCallKey(c)));
     for (const call of due) this.#open.set(formatCallKey(call), call);
@@ -403,8 +405,8 @@
   /** Removes old call times, such as those of ranges that no longer exist. */
   #pruneCallTimes(nowMs: number): void {
     if (this.#next.size < 20 * this.#assignments.length) return;
-    for (const [name, atMs] of this.#next) {
-      if (atMs < nowMs - this.#times.holdMs) this.#next.delete(name);
+    for (const [name, { dueMs }] of this.#next) {
+      if (dueMs < nowMs - this.#times.holdMs) this.#next.delete(name);
     }
   }
 
@@ -473,16 +475,31 @@
     this.#health.set(server.id, health);
   }
 
+  /**
+   * Schedules the repetition of a call. One that is rejected again and again is
+   * repeated more slowly: its server is another one, or does not know such calls.
+   */
+  #scheduleNext(call: LeaseCall, end: LeaseCallOutcome, nowMs: number): void {
+    const key = formatCallKey(call);
+    const isRenewal = call.kind === LeaseCallKind.Grant &&
+      end === LeaseCallOutcome.Done;
+    const rejections = end === LeaseCallOutcome.Rejected
+      ? (this.#next.get(key)?.rejections ?? 0) + 1
+      : 0;
+    const retryMs = CALL_RETRY_MS * 2 ** Math.max(0, rejections - 1);
+    const delayMs = isRenewal
+      ? this.#times.renewMs
+      : Math.min(retryMs, MAX_REJECTED_RETRY_MS);
+    this.#next.set(key, { dueMs: nowMs + delayMs, rejections });
+  }
+
   #observeGrant(call: LeaseCall, end: LeaseCallOutcome, nowMs: number): void {
-    const { holdMs, clockSkew, renewMs } = this.#times;
+    const { holdMs, clockSkew } = this.#times;
     const until = nowMs + holdMs * (1 + clockSkew) + LEASE_MARGIN_MS;
     const mayHoldLease = end === LeaseCallOutcome.Done ||
       end === LeaseCallOutcome.Unknown;
     const accepted = end === LeaseCallOutcome.Done;
-    this.#next.set(
-      formatCallKey(call),
-      nowMs + (accepted ? renewMs : CALL_RETRY_MS),
-    );
+    this.#scheduleNext(call, end, nowMs);
     this.#assignments = this.#assignments.map((a) => {
       if (a.from > call.to || call.from > a.to) return a;
       const former = mayHoldLease
@@ -519,7 +536,7 @@
     result: LeaseCallResult,
     nowMs: number,
   ): void {
-    this.#next.set(formatCallKey(call), nowMs + CALL_RETRY_MS);
+    this.#scheduleNext(call, result.end, nowMs);
     if (result.end !== LeaseCallOutcome.Done) return;
     this.#assignments = this.#assignments.map((a) => {
       if (a.from < call.from || a.to > call.to || a.fence !== call.fence) {
@@ -535,6 +552,13 @@
   }
 }
 
+/** When a call is due again. */
+interface CallSchedule {
+  readonly dueMs: number;
+  /** Number of times in a row that the server has rejected it. */
+  readonly rejections: number;
+}
+
 /**
  * Identifies calls of one kind for the same range, fencing token and server.
  */
--- a/packages/ranges/test/range_changes_test.ts
+++ b/packages/ranges/test/range_changes_test.ts
@@ -262,3 +262,24 @@
   assert.ok(before > 30, `${before} ranges before`);
   assert.ok(manager.assignments.length <= 6, `${manager.assignments.length}`);
 });
+
+/**
+ * Guards against a coordinator that is kept busy by calls to an address that
+ * now belongs to a server of another service, which rejects each of them.
+ */
+test("a release that is always rejected is repeated ever more slowly", () => {
+  const manager = AssignmentManager.create("s", TIMES);
+  assignKeys(manager, SERVER_X, { fence: 1, nowMs: 0 });
+  manager.commit([{ from: 0, to: LAST_KEY, owner: SERVER_Y }], {
+    nowMs: 100,
+    fence: 2,
+  });
+  let releases = 0;
+  for (let nowMs = 100; nowMs < 2_900; nowMs += 50) {
+    for (const call of manager.listCalls(nowMs, VIEW)) {
+      if (call.kind === LeaseCallKind.Release) releases += 1;
+      manager.observe(call, { end: LeaseCallOutcome.Rejected }, nowMs);
+    }
+  }
+  assert.ok(releases >= 3 && releases <= 5, `${releases} releases`);
+});
