gateway: Read pending input before a timeout counts against a server

After a delay of the event loop, timers run before sockets are read, so a connection or a response that had arrived in time ended as notSent or timedOut. The server was then avoided for half a second, and the client told that nothing had come. Change: the timeouts of an exchange read pending input first, if it may be old. Measured: the test fails without the change (timedOut) and passes with it.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -206,7 +206,7 @@
       signal: call.signal,
       // Once written, a request that may run only once runs to its end.
       isRepeatable,
-      confirmNeed: () => this.#confirmClient(call),
+      readPendingInput: () => this.#confirmClient(call),
       onWrite: () => {
         call.isSent = true;
         call.sentAtMs = performance.now();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -71,10 +71,10 @@
   readonly signal: AbortSignal;
   readonly isRepeatable: boolean;
   /**
-   * Waits until it is known whether the response is still needed. Returns
-   * `undefined` if it is known already.
+   * Waits until input that has arrived was read, which may show that the
+   * response is no longer needed. Returns `undefined` if none can be old.
    */
-  readonly confirmNeed: () => Promise<void> | undefined;
+  readonly readPendingInput: () => Promise<void> | undefined;
   /** Called immediately before the request is written. */
   readonly onWrite: () => void;
 }
@@ -187,7 +187,7 @@
     this.#watchRequest(this.#request);
     options.signal.addEventListener("abort", this.#onAbort);
     this.#timer = setTimeout(
-      () => this.#failWritten(ExchangeEnd.TimedOut, "no answer in time"),
+      () => void this.#expire(ExchangeEnd.TimedOut, "no answer in time"),
       options.timeoutMs,
     );
   }
@@ -201,10 +201,20 @@
     this.#failWritten(ExchangeEnd.Cancelled, "cancelled");
   };
 
+  /**
+   * Ends the exchange after a timeout. A connection or a response that arrived
+   * in time may still be unread, and is read first.
+   */
+  async #expire(end: ExchangeEnd, problem: string): Promise<void> {
+    await this.#options.readPendingInput();
+    if (end !== ExchangeEnd.NotSent) this.#failWritten(end, problem);
+    else if (!this.#isConnected) this.#fail(end, problem);
+  }
+
   /** Writes the request, once it is certain that its response is needed. */
   async #write(): Promise<void> {
     this.#isConnected = true;
-    await this.#options.confirmNeed();
+    await this.#options.readPendingInput();
     if (this.#isFinished) return;
     this.#isWritten = true;
     const { body, onWrite } = this.#options;
@@ -217,7 +227,7 @@
     request.on("socket", (socket) => {
       if (!socket.connecting) return void this.#write();
       this.#connectTimer = setTimeout(
-        () => this.#fail(ExchangeEnd.NotSent, "no connection in time"),
+        () => void this.#expire(ExchangeEnd.NotSent, "no connection in time"),
         CONNECT_TIMEOUT_MS,
       );
       socket.setNoDelay(true);
--- a/packages/gateway/test/exchange_test.ts
+++ b/packages/gateway/test/exchange_test.ts
@@ -171,7 +171,7 @@
       address,
       isRepeatable,
       signal: cancel.signal,
-      confirmNeed: async () => {
+      readPendingInput: async () => {
         await new Promise((resolve) => setTimeout(resolve, 20));
         cancel.abort();
       },
@@ -182,6 +182,32 @@
   }
 });
 
+/** Guards against a gateway that is behind and blames the server for it. */
+test("an answer that arrived in time but is unread counts", async () => {
+  const server = createServer((socket) => {
+    socket.once("data", () => {
+      setTimeout(
+        () => socket.end(HEAD + "content-length: 2\r\n\r\nok"),
+        60,
+      );
+    });
+  });
+  const address = await listen(server);
+  let confirmations = 0;
+  const result = await exchange({
+    address,
+    timeoutMs: 30,
+    readPendingInput: () => {
+      confirmations += 1;
+      // The first is before the write, the second after the timeout.
+      if (confirmations === 1) return undefined;
+      return new Promise((resolve) => setTimeout(resolve, 1_000));
+    },
+  });
+  server.close();
+  assert.equal(result.end, ExchangeEnd.Answered, result.problem);
+});
+
 function exchange(
   options: Partial<ExchangeOptions> & { address: string },
 ): Promise<ExchangeResult> {
@@ -196,7 +222,7 @@
     buffers: new ResponseBuffers(),
     signal: new AbortController().signal,
     isRepeatable: true,
-    confirmNeed: () => undefined,
+    readPendingInput: () => undefined,
     onWrite: () => {},
     ...options,
   }, protocol);
