router: Cancel calls whose caller left while the body was read

The signal that cancels a call was made after its body had been read and listened to a connection that could have closed by then, so it never fired. Change: it fires at once if the connection is closed.

--- a/packages/router/src/forwarder.ts
+++ b/packages/router/src/forwarder.ts
@@ -244,6 +244,8 @@
   };
   res.once("close", abort);
   req.once("aborted", abort);
+  // The caller may have left while its body was read.
+  if (req.socket.destroyed) abort();
   return controller.signal;
 }
 
