gateway: Answer pipelined requests in order, with the malformed one last

Cause: two good requests and a malformed third in one write got a single 400 (431) in the place of the first answer, though a server had run one of them: node answers a parse error on the socket at once. An order behind another request was sent to a server at once; if the response before it closed the connection, the client repeated the order, which then ran twice. During a planned stop the first response closed the connection behind it, with later requests of that connection running.

Change: ClientPipeline keeps the open requests of a connection in order. At most 16 run at a time, orders only once all earlier ones are answered; above 64 open ones the connection is not read. Malformed input is answered after the requests before it. A response closes the connection only if no later request of it is running.

--- a/packages/gateway/src/client_call.ts
+++ b/packages/gateway/src/client_call.ts
@@ -1,6 +1,7 @@
 /** A client's request and its single response. @module */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Route } from "@jaytiller/routing";
+import { RequestKind, type Route } from "@jaytiller/routing";
+import type { PipelinedRequest } from "./client_pipeline.js";
 import type { ServerAnswer } from "./exchange.js";
 import type { RequestMetadata } from "./ports.js";
 
@@ -45,7 +46,7 @@
   readonly #response: ServerResponse;
   readonly #cancel = new AbortController();
   readonly #timer: NodeJS.Timeout;
-  readonly #isClosing: () => boolean;
+  readonly #pipelined: PipelinedRequest;
   #status: number | undefined;
   #clientLeftAtMs: number | undefined;
   onTimeout: () => void = () => {};
@@ -62,7 +63,8 @@
     this.route = options.route;
     this.service = options.service;
     this.arrivedMs = options.nowMs;
-    this.#isClosing = options.isClosing;
+    this.#pipelined = options.pipelined;
+    this.#pipelined.onMalformed = (status) => this.#rejectRest(status);
     const { timeoutMs } = options.route;
     const allowedMs = Math.min(
       options.metadata.deadlineMs ?? timeoutMs,
@@ -114,15 +116,15 @@
     if (this.isAnswered) return;
     this.#end(answer.status);
     // A response without a length is forwarded without one.
-    if (answer.isUnframed) this.#response.useChunkedEncodingByDefault = false;
-    const connectionHeaders = answer.isUnframed
-      ? ["Connection", "close"]
-      : this.#listConnectionHeaders();
-    this.#response.writeHead(
-      answer.status,
-      answer.message,
-      [...answer.headers, ...connectionHeaders],
-    );
+    if (answer.isUnframed) {
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#pipelined.endPipeline();
+    }
+    const isClosing = answer.isUnframed || this.#pipelined.takeClose();
+    const headers = isClosing
+      ? [...answer.headers, "Connection", "close"]
+      : [...answer.headers];
+    this.#response.writeHead(answer.status, answer.message, headers);
     this.#response.end(answer.body);
   }
 
@@ -132,12 +134,24 @@
     this.#end(status);
     sendEmptyAnswer(this.#response, {
       status,
-      isClosing: this.#isClosing(),
-      attemptId: this.metadata.attemptId,
+      isClosing: this.#pipelined.takeClose(),
       retryAfterMs,
     });
   }
 
+  /** Waits until earlier requests of the connection let this one run. */
+  waitForTurn(): Promise<void> {
+    const isRepeatable = this.route.kind === RequestKind.Idempotent;
+    return this.#pipelined.waitForTurn({ isRepeatable });
+  }
+
+  #rejectRest(status: number): void {
+    if (this.isAnswered) return;
+    this.#end(status);
+    this.#pipelined.endPipeline();
+    sendEmptyAnswer(this.#response, { status, isClosing: true });
+  }
+
   #end(status: number): void {
     this.#status = status;
     this.#stopWatching();
@@ -150,10 +164,6 @@
     socket.removeListener("close", this.#handleLeaving);
   }
 
-  #listConnectionHeaders(): string[] {
-    return this.#isClosing() ? ["Connection", "close"] : [];
-  }
-
   readonly #handleLeaving = () => {
     this.#stopWatching();
     if (this.isAnswered || this.hasClientLeft) return;
@@ -168,17 +178,15 @@
   readonly route: Route;
   readonly service: string;
   readonly nowMs: number;
-  /** Returns whether responses must close their connections. */
-  readonly isClosing: () => boolean;
+  readonly pipelined: PipelinedRequest;
 }
 
 /** Sends a response of the router with an empty body. */
 export function sendEmptyAnswer(
   response: ServerResponse,
   options: {
-    status: RouterStatus;
+    status: number;
     isClosing: boolean;
-    attemptId?: string | undefined;
     retryAfterMs?: number | undefined;
   },
 ): void {
--- /dev/null
+++ b/packages/gateway/src/client_pipeline.ts
@@ -0,0 +1,178 @@
+/** Requests that a client sends before earlier ones are answered. @module */
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
+import type { Socket } from "node:net";
+
+/** Largest number of requests of one connection that run at the same time. */
+const MAX_RUNNING = 16;
+/** Number of open requests above which the connection is not read. */
+const MAX_OPEN = 64;
+
+/**
+ * The open requests of one client connection, in the order of their responses.
+ * A response that closes the connection makes the client repeat all requests
+ * behind it, so none of them may have run unless it is idempotent.
+ */
+export class ClientPipeline {
+  readonly #socket: Socket;
+  readonly #isClosing: () => boolean;
+  #open: readonly PipelinedRequest[] = [];
+  /** The request whose response closes the connection. */
+  #last: PipelinedRequest | undefined;
+  #isClosed = false;
+  /** What is sent after the last response because the input is malformed. */
+  #rejection: string | undefined;
+
+  /** `isClosing` returns whether responses should close their connections. */
+  constructor(socket: Socket, isClosing: () => boolean) {
+    this.#socket = socket;
+    this.#isClosing = isClosing;
+    socket.once("close", () => {
+      this.#isClosed = true;
+      for (const pipelined of this.#open) pipelined.release();
+    });
+  }
+
+  /** Adds the next request of the connection. */
+  add(request: IncomingMessage, response: ServerResponse): PipelinedRequest {
+    const pipelined = new PipelinedRequest(this, request);
+    this.#open = [...this.#open, pipelined];
+    response.once("close", () => this.#remove(pipelined));
+    this.#limitInput();
+    return pipelined;
+  }
+
+  /**
+   * Handles input that is no request. Requests before it are answered first,
+   * then the input is answered with `status` and the connection is closed.
+   */
+  rejectInput(status: number): void {
+    if (this.#rejection !== undefined) return;
+    const last = this.#open.at(-1);
+    const isBody = last !== undefined && !last.isRead;
+    // The response to a request with a malformed body is its own.
+    this.#rejection = isBody ? "" : formatRejection(status);
+    if (isBody) last.onMalformed(status);
+    this.advance();
+  }
+
+  /**
+   * Returns whether the response to `pipelined` has to close the connection. It
+   * must not while a later request is running.
+   */
+  takeClose(pipelined: PipelinedRequest): boolean {
+    const later = this.#open.slice(this.#open.indexOf(pipelined) + 1);
+    if (!this.#isClosing() || later.some((p) => p.isRunning)) return false;
+    this.endAfter(pipelined);
+    return true;
+  }
+
+  /** Starts no request behind this one: its response closes the connection. */
+  endAfter(pipelined: PipelinedRequest): void {
+    this.#last = pipelined;
+  }
+
+  /** Starts the requests that may run. */
+  advance(): void {
+    if (this.#isClosed) return;
+    if (this.#open.length === 0) return this.#rejectRest();
+    let running = this.#open.filter((p) => p.isRunning).length;
+    for (const [index, pipelined] of this.#open.entries()) {
+      const isBehind = index > 0;
+      if (isBehind && (this.#isClosing() || running >= MAX_RUNNING)) break;
+      if (pipelined.start({ isBehind })) running += 1;
+      if (pipelined === this.#last) break;
+    }
+  }
+
+  #remove(pipelined: PipelinedRequest): void {
+    this.#open = this.#open.filter((p) => p !== pipelined);
+    pipelined.release();
+    if (pipelined === this.#last) this.#isClosed = true;
+    this.#limitInput();
+    this.advance();
+  }
+
+  #limitInput(): void {
+    if (this.#open.length > MAX_OPEN) this.#socket.pause();
+    else if (this.#socket.isPaused()) this.#socket.resume();
+  }
+
+  #rejectRest(): void {
+    if (this.#rejection === undefined || !this.#socket.writable) return;
+    this.#isClosed = true;
+    this.#socket.end(this.#rejection);
+  }
+}
+
+function formatRejection(status: number): string {
+  const statusLine = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`;
+  return `${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
+
+/** A request of a pipeline. */
+export class PipelinedRequest {
+  readonly #pipeline: ClientPipeline;
+  readonly #request: IncomingMessage;
+  readonly #turn: Promise<void>;
+  #resolveTurn: () => void = () => {};
+  /** Whether it waits for its turn, and whether it may run more than once. */
+  #waiting: { readonly isRepeatable: boolean } | undefined;
+  #isRunning = false;
+  /** Called with a status if the rest of the request is malformed. */
+  onMalformed: (status: number) => void = () => {};
+
+  constructor(pipeline: ClientPipeline, request: IncomingMessage) {
+    this.#pipeline = pipeline;
+    this.#request = request;
+    this.#turn = new Promise((resolve) => this.#resolveTurn = resolve);
+  }
+
+  /** Whether the request may have been sent to a server. */
+  get isRunning(): boolean {
+    return this.#isRunning;
+  }
+
+  /** Whether the request was received completely. */
+  get isRead(): boolean {
+    return this.#request.complete;
+  }
+
+  /**
+   * Waits until the request may be sent to a server. Also resolves once its
+   * connection has closed or its response was sent.
+   */
+  waitForTurn(options: { isRepeatable: boolean }): Promise<void> {
+    this.#waiting = options;
+    this.#pipeline.advance();
+    return this.#turn;
+  }
+
+  /** Lets the request run if it is its turn; returns whether it now does. */
+  start({ isBehind }: { isBehind: boolean }): boolean {
+    if (!this.#waiting || isBehind && !this.#waiting.isRepeatable) return false;
+    this.#waiting = undefined;
+    this.#isRunning = true;
+    this.#resolveTurn();
+    return true;
+  }
+
+  /** Ends the wait for a turn that will not come. */
+  release(): void {
+    this.#waiting = undefined;
+    this.#resolveTurn();
+  }
+
+  /** Returns whether its response has to close the connection. */
+  takeClose(): boolean {
+    return this.#pipeline.takeClose(this);
+  }
+
+  /** Called if its response closes the connection in any case. */
+  endPipeline(): void {
+    this.#pipeline.endAfter(this);
+  }
+}
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -10,6 +10,7 @@
   WeightedRoundRobin,
 } from "@jaytiller/routing";
 import { ClientCall, RouterStatus, sendEmptyAnswer } from "./client_call.js";
+import type { PipelinedRequest } from "./client_pipeline.js";
 import {
   copyEndToEndHeaders,
   ExchangeEnd,
@@ -86,28 +87,34 @@
     this.#isRefusing = true;
   }
 
+  /** Whether responses should close their connections. */
+  get isClosing(): boolean {
+    return this.#isClosing;
+  }
+
   /** Handles one request. */
-  async serve(request: IncomingMessage, response: ServerResponse) {
+  async serve(received: ReceivedRequest): Promise<void> {
     const nowMs = performance.now();
+    const { request, response, pipelined } = received;
     response.sendDate = false;
     const metadata = this.#options.protocol.parseRequestHeaders(
       request.headers,
     );
     const table = this.#options.cluster.routes;
-    if (this.#isRefusing) return this.#reject(response, metadata, "stopping");
+    if (this.#isRefusing) return this.#reject(received, metadata, "stopping");
     if (!table || !this.#options.cluster.hasServers) {
-      return this.#reject(response, metadata, "starting");
+      return this.#reject(received, metadata, "starting");
     }
     const host = request.headers.host ?? "";
     const route = table.match(host, request.url ?? "/");
-    if (!route) return this.#reject(response, metadata, "noRoute");
+    if (!route) return this.#reject(received, metadata, "noRoute");
     const service = this.#splits.chooseService(route);
     const call = new ClientCall(request, response, {
       metadata,
       route,
       service,
       nowMs,
-      isClosing: () => this.#isClosing,
+      pipelined,
     });
     this.#open += 1;
     try {
@@ -118,7 +125,7 @@
   }
 
   #reject(
-    response: ServerResponse,
+    { response, pipelined }: ReceivedRequest,
     metadata: RequestMetadata,
     reason: RejectionReason,
   ): void {
@@ -130,8 +137,7 @@
     }, EventPriority.Routine);
     sendEmptyAnswer(response, {
       ...rejection,
-      isClosing: this.#isClosing,
-      attemptId: metadata.attemptId,
+      isClosing: pipelined.takeClose(),
     });
   }
 
@@ -145,7 +151,13 @@
     if (end === BodyEnd.CutShort || call.isAnswered) {
       return this.#log(call, "bodyCutShort");
     }
+    await call.waitForTurn();
+    if (call.isAnswered) return;
     if (call.hasClientLeft) return this.#log(call, "clientLeft");
+    if (this.#isRefusing) {
+      call.answer(RouterStatus.Refused, REJECTIONS.stopping.retryAfterMs);
+      return this.#log(call, "stopping");
+    }
     this.#countRequest(call);
     if (this.#isBarred(call, body)) {
       call.answer(RouterStatus.Refused, BARRED_RETRY_AFTER_MS);
@@ -407,6 +419,13 @@
   return atMs === undefined ? undefined : Math.round(atMs - call.arrivedMs);
 }
 
+/** A request as received from a client. */
+export interface ReceivedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly pipelined: PipelinedRequest;
+}
+
 /** A finished exchange with a server. */
 interface CompletedExchange {
   readonly server: ServerEntry;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -1,8 +1,10 @@
 /** The HTTP server for clients. @module */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Socket } from "node:net";
 import type { EventLog } from "@jaytiller/kernel";
+import { ClientPipeline } from "./client_pipeline.js";
 import type { Dispatcher } from "./dispatcher.js";
+import { RouterStatus } from "./client_call.js";
 import { type ClusterState, ClusterStatePart } from "./cluster_state.js";
 import { sleep } from "./sleep.js";
 import { bindServer } from "./listen.js";
@@ -22,7 +24,7 @@
   readonly #dispatcher: Dispatcher;
   readonly #listen: ListenAddress;
   readonly #log: EventLog;
-  readonly #sockets = new Set<Socket>();
+  readonly #pipelines = new Map<Socket, ClientPipeline>();
 
   constructor(options: {
     dispatcher: Dispatcher;
@@ -40,16 +42,16 @@
       requestTimeout: 0,
       noDelay: true,
     }, (request, response) => {
-      dispatcher.serve(request, response).catch((error: unknown) => {
-        log.record("serveFailed", { problem: formatError(error) });
-        response.destroy();
-      });
+      const pipelined = this.#findPipeline(request).add(request, response);
+      dispatcher.serve({ request, response, pipelined })
+        .catch((error: unknown) => {
+          log.record("serveFailed", { problem: formatError(error) });
+          response.destroy();
+        });
     });
-    this.#server.on("connection", (socket) => {
-      this.#sockets.add(socket);
-      // Each request that is in progress on the connection adds listeners.
-      socket.setMaxListeners(0);
-      socket.on("close", () => this.#sockets.delete(socket));
+    this.#server.on("connection", (socket) => this.#accept(socket));
+    this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+      this.#rejectInput(error, socket as Socket);
     });
     cluster.onChange((part) => {
       if (part !== ClusterStatePart.Routes) return;
@@ -62,7 +64,7 @@
   }
 
   get connections(): number {
-    return this.#sockets.size;
+    return this.#pipelines.size;
   }
 
   start(): Promise<void> {
@@ -90,18 +92,53 @@
     await sleep(DRAIN_POLL_INTERVAL_MS);
     this.#log.record("drained", {
       open: this.#dispatcher.open,
-      connections: this.#sockets.size,
+      connections: this.#pipelines.size,
       ms: Math.round(getElapsedMs()),
     });
-    for (const socket of this.#sockets) socket.destroySoon();
+    for (const socket of this.#pipelines.keys()) socket.destroySoon();
   }
 
   stop(): void {
     this.#server.close();
     this.#server.closeAllConnections();
   }
+
+  #accept(socket: Socket): void {
+    const pipeline = new ClientPipeline(
+      socket,
+      () => this.#dispatcher.isClosing,
+    );
+    this.#pipelines.set(socket, pipeline);
+    // Each request that is in progress on the connection adds listeners.
+    socket.setMaxListeners(0);
+    socket.on("close", () => this.#pipelines.delete(socket));
+  }
+
+  #findPipeline({ socket }: IncomingMessage): ClientPipeline {
+    const pipeline = this.#pipelines.get(socket);
+    if (!pipeline) throw new Error("Request of an unknown connection");
+    return pipeline;
+  }
+
+  #rejectInput(error: NodeJS.ErrnoException, socket: Socket): void {
+    // Input behind a request that asks to close the connection is ignored.
+    if (error.code === "HPE_CLOSED_CONNECTION") return;
+    const isBroken = error.code === "ECONNRESET" || !socket.writable;
+    if (isBroken) return void socket.destroy();
+    const status = MALFORMED_INPUT_STATUSES[error.code ?? ""] ??
+      RouterStatus.BadRequest;
+    this.#log.record("malformedInput", { problem: error.code, status });
+    this.#pipelines.get(socket)?.rejectInput(status);
+  }
 }
 
+/** Statuses of malformed input by error code; 400 for all others. */
+const MALFORMED_INPUT_STATUSES: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
 function formatError(error: unknown): string {
   return error instanceof Error ? error.stack ?? error.message : String(error);
 }
