--- a/packages/gateway/test/exchange_test.ts
+++ b/packages/gateway/test/exchange_test.ts
@@ -1,38 +1,13 @@
 /** Exchanges with servers that send bytes without end, or get none. */
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
-import {
-  type AddressInfo,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import {
-  ExchangeEnd,
-  type ExchangeOptions,
-  type ExchangeResult,
-  runExchange,
-} from "../src/exchange.js";
-import type { RequestProtocol } from "../src/ports.js";
+import { ExchangeEnd } from "../src/exchange.js";
 import { ResponseBuffers } from "../src/response_limits.js";
+import { exchange, HEAD, listen, TIMEOUT_MS } from "./exchange_fixture.js";
 
-const TIMEOUT_MS = 1_000;
 /** Largest response body, bytes; with what lies in sockets beside it. */
 const MAX_RECEIVED_BYTES = (32 << 20) + (16 << 20);
-const HEAD = "HTTP/1.1 200 OK\r\nx-id: a\r\nx-signature: s\r\n";
-
-const protocol: RequestProtocol = {
-  parseRequestHeaders: () => ({}),
-  parseResponseHeaders: (headers) => ({
-    attemptId: String(headers["x-id"]),
-    isSigned: headers["x-signature"] !== undefined,
-    isNotRun: false,
-  }),
-  makeServerHeaders: () => [],
-  replacedHeaders: new Set(),
-  readyPath: "/ready",
-};
 
 interface EndlessCase {
   readonly title: string;
@@ -208,26 +183,6 @@
   assert.equal(result.end, ExchangeEnd.Answered, result.problem);
 });
 
-function exchange(
-  options: Partial<ExchangeOptions> & { address: string },
-): Promise<ExchangeResult> {
-  return runExchange({
-    agent: new Agent(),
-    method: "GET",
-    target: "/",
-    headers: ["Host", "a"],
-    body: Buffer.alloc(0),
-    attemptId: "a",
-    timeoutMs: TIMEOUT_MS,
-    buffers: new ResponseBuffers(),
-    signal: new AbortController().signal,
-    isRepeatable: true,
-    readPendingInput: () => undefined,
-    onWrite: () => {},
-    ...options,
-  }, protocol);
-}
-
 async function startEndlessServer(endless: EndlessCase) {
   let sent = 0;
   const server = createServer((socket) => {
@@ -248,11 +203,3 @@
   };
   return { server, address: await listen(server), sentBytes: () => sent };
 }
-
-function listen(server: Server): Promise<string> {
-  return new Promise((resolve) =>
-    server.listen(0, "127.0.0.1", () => {
-      resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-    })
-  );
-}
