gateway: Send an attempt again only over a new connection

Cause: a faulty server can write a rejection once more on a kept connection. The response is matched by the attempt's id; a request that the owner of its key had rejected is sent to the owner again under the same id, mostly over the same connection. The repeated rejection then counted for the second send, which the server ran: the client was told that an order had not run.

Change: a server that has got an attempt before gets it again over a connection of its own.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,6 +1,6 @@
 /** Handles a request: route, server, exchange and response. @module */
 import { createHash } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import { type EventLog, EventPriority } from "@jaytiller/kernel";
 import { ExchangeOutcome, RetryBudget } from "@jaytiller/placement";
 import {
@@ -200,13 +200,13 @@
     server: ServerEntry,
     body: Buffer,
   ): Promise<ExchangeResult> {
-    const { agents, protocol, stats, placer } = this.#options;
+    const { protocol, stats, placer } = this.#options;
     const leftMs = Math.max(1, Math.floor(call.deadlineMs - performance.now()));
     const isRepeatable = call.route.kind === RequestKind.Idempotent;
     call.onClientLeft = () => call.cancel();
     if (call.hasClientLeft) call.cancel();
     const result = await runExchange({
-      agent: agents.get(server.id),
+      agent: this.#chooseAgent(call, server),
       address: server.address,
       method: call.request.method ?? "GET",
       target: call.request.url ?? "/",
@@ -236,6 +236,16 @@
     return result;
   }
 
+  /**
+   * A server that got an attempt before may send its earlier response once
+   * more, with the id of that attempt. No kept connection is used for it again.
+   */
+  #chooseAgent(call: ClientCall, server: ServerEntry): Agent {
+    const { agents } = this.#options;
+    const isSentAgain = call.triedServers.includes(server.id);
+    return isSentAgain ? agents.singleUse : agents.get(server.id);
+  }
+
   /**
    * Makes sure that the client is known to have left if it has: input that
    * arrived while the event loop was behind is read first.
--- a/packages/gateway/src/server_agents.ts
+++ b/packages/gateway/src/server_agents.ts
@@ -42,6 +42,12 @@
 /** Agents by server id, as an address may later belong to another server. */
 export class ServerAgents {
   readonly #agents = new Map<string, Agent>();
+  readonly #singleUse = new Agent({ keepAlive: false });
+
+  /** Agent that makes a new connection for each request. */
+  get singleUse(): Agent {
+    return this.#singleUse;
+  }
 
   get(id: string): Agent {
     const known = this.#agents.get(id);
