gateway: Send no list of routers in heartbeats, and wake up less often

Cause: every heartbeat after a join contained all routers, about 25 KB at 195 of them, for each of the 194 others; no router read it. The changes from what a router has were computed once for each router, although most have the same. Idle gateways woke up 100 times a second for two timers of 20 ms.

Change: the list is gone from the heartbeat; an older build ignores its absence, a newer one the field. StateChanges lists the changes from each older state once for all routers. The timer of the wait queue runs only while a request waits; the event loop's delay is measured each 100 ms, so that a delay of 130 ms or more still counts.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -25,6 +25,7 @@
 import type { HeartbeatContext } from "./member_link.js";
 import { OwnershipLog } from "./ownership_log.js";
 import { sleep } from "./sleep.js";
+import { StateChanges } from "./state_changes.js";
 import { PauseDetector } from "./pause_detector.js";
 import type { LeaseTransport, PlatformStore } from "./ports.js";
 import type { TrafficStats } from "./traffic_stats.js";
@@ -386,8 +387,9 @@
     return {
       term: this.#term,
       coordinator: this.#options.self,
-      routers: this.#routers,
+      routers: this.#routers.length,
       cluster: this.#options.cluster,
+      changes: new StateChanges(this.#options.cluster),
       nowMs,
       barred: this.#crashes.listPoisonRequests(nowMs),
     };
--- a/packages/gateway/src/heartbeat_sender.ts
+++ b/packages/gateway/src/heartbeat_sender.ts
@@ -18,7 +18,7 @@
 /** Dependencies of a heartbeat sender. */
 export interface HeartbeatSenderOptions {
   readonly log: EventLog;
-  /** Returns the content of the next heartbeat. */
+  /** Returns the content of the next heartbeats. */
   readonly makeContext: () => HeartbeatContext;
   /** Called on a reply; `router` is the recipient that was addressed. */
   readonly onAnswer: (answer: HeartbeatReply, router: RouterRef) => void;
@@ -44,10 +44,14 @@
 
   /** Sends the heartbeats that are due. */
   tick(): void {
+    if (this.#hasEnded) return;
     const nowMs = performance.now();
-    for (const member of this.#members.values()) {
-      if (nowMs >= member.nextSendMs) this.#send(member);
-    }
+    const due = [...this.#members.values()].filter((m) =>
+      nowMs >= m.nextSendMs && !m.link.isSending
+    );
+    if (due.length === 0) return;
+    const context = this.#options.makeContext();
+    for (const member of due) this.#send(member, context);
   }
 
   /** Sends changes to all reachable routers, once per event-loop turn. */
@@ -68,10 +72,9 @@
     for (const { link } of this.#members.values()) link.close();
   }
 
-  #send(member: MemberState): void {
-    if (member.link.isSending || this.#hasEnded) return;
-    member.nextSendMs = performance.now() + HEARTBEAT_INTERVAL_MS;
-    member.link.send(this.#options.makeContext()).then(
+  #send(member: MemberState, context: HeartbeatContext): void {
+    member.nextSendMs = context.nowMs + HEARTBEAT_INTERVAL_MS;
+    member.link.send(context).then(
       (answer) => {
         this.#setLost(member, false);
         this.#options.onAnswer(answer, member.link.router);
--- a/packages/gateway/src/loop_monitor.ts
+++ b/packages/gateway/src/loop_monitor.ts
@@ -1,7 +1,7 @@
 /** Detects delays of the event loop, during which no input is read. @module */
 import type { EventLog } from "@jaytiller/kernel";
 
-const TICK_INTERVAL_MS = 20;
+const TICK_INTERVAL_MS = 100;
 /** Delay of a tick from which input may be old, ms. */
 const MAX_TICK_DELAY_MS = 30;
 /** Delay of a tick from which it is logged, ms. */
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -70,8 +70,6 @@
 export class Member {
   readonly #options: MemberOptions;
   #term = -1;
-  #coordinator: RouterRef | undefined;
-  #routers: readonly RouterRef[] = [];
   #routerCount = 1;
   #coordinatorHeardAt = -Infinity;
   #serversNumber = 0;
@@ -178,11 +176,9 @@
         router: beat.coordinator.node,
       });
     }
-    this.#coordinator = beat.coordinator;
     this.#coordinatorHeardAt = nowMs;
     this.#coordinatorServersAgeMs = beat.serversAgeMs;
     this.#routerCount = beat.routers;
-    if (beat.routerList) this.#routers = beat.routerList;
     if (beat.configuration && cluster.applyConfiguration(beat.configuration)) {
       const { version } = beat.configuration;
       log.record("configuration", { version, source: "coordinator" });
@@ -360,7 +356,6 @@
     );
     this.#options.cluster.setOwners(tables, `record/${entry.offset}`);
     this.#ownersNumber = 0;
-    this.#routers = record.routers;
     this.#routerCount = Math.max(1, record.routers.length);
   }
 
@@ -423,7 +418,6 @@
     });
     if (!isDone || this.#hasStopped) return;
     this.#term = newest.position;
-    this.#coordinator = self;
     this.#coordinatorHeardAt = -Infinity;
     this.#localCoordinator = createCoordinator({
       term: newest.position,
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -5,8 +5,8 @@
   type Heartbeat,
   type HeartbeatReply,
   PeerMethod,
-  type ServiceOwnerRanges,
 } from "./peer_messages.js";
+import type { StateChanges } from "./state_changes.js";
 import type { ClusterState } from "./cluster_state.js";
 import { PeerLink } from "./peer_link.js";
 
@@ -14,8 +14,10 @@
 export interface HeartbeatContext {
   readonly term: number;
   readonly coordinator: RouterRef;
-  readonly routers: readonly RouterRef[];
+  /** Number of routers. */
+  readonly routers: number;
   readonly cluster: ClusterState;
+  readonly changes: StateChanges;
   readonly nowMs: number;
   /** Fingerprints of requests that crash servers. */
   readonly barred: readonly string[];
@@ -26,7 +28,6 @@
   readonly number: number;
   readonly servers: ServerView;
   readonly owners: ReadonlyMap<string, OwnerTable>;
-  readonly routers: readonly RouterRef[];
 }
 
 /** Sends heartbeats to a router and tracks the state that it acknowledged. */
@@ -81,20 +82,19 @@
   #makeHeartbeat(
     context: HeartbeatContext,
   ): { beat: Heartbeat; sent: SentState } {
-    const { cluster, nowMs, term, coordinator, routers, barred } = context;
+    const { cluster, changes, nowMs, barred } = context;
     const { servers, owners, routes } = cluster;
     const acknowledged = this.#acknowledged;
     const hasChanges = !acknowledged || acknowledged.servers !== servers ||
       acknowledged.owners !== owners;
     const number = hasChanges ? this.#lastNumber += 1 : acknowledged.number;
-    const sent: SentState = { number, servers, owners, routers };
+    const sent: SentState = { number, servers, owners };
     const base = acknowledged?.number ?? 0;
     const isConfigurationOld = routes && routes.version > this.#version;
     const beat: Heartbeat = {
-      term,
-      coordinator,
-      routers: routers.length,
-      ...(acknowledged?.routers === routers ? {} : { routerList: routers }),
+      term: context.term,
+      coordinator: context.coordinator,
+      routers: context.routers,
       configurationAgeMs: Math.round(nowMs - cluster.routesConfirmedAt),
       serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
       serversPosition: servers.position,
@@ -105,14 +105,12 @@
           servers: {
             base,
             number,
-            items: acknowledged
-              ? servers.listChangesSince(acknowledged.servers)
-              : servers.list().map((entry) => ({ id: entry.id, entry })),
+            items: changes.listServers(acknowledged?.servers),
           },
           owners: {
             base,
             number,
-            items: listOwnerChanges(owners, acknowledged?.owners),
+            items: changes.listOwners(acknowledged?.owners),
           },
         }
         : {}),
@@ -120,18 +118,3 @@
     return { beat, sent };
   }
 }
-
-/** Lists the ranges that differ from the older tables. */
-function listOwnerChanges(
-  owners: ReadonlyMap<string, OwnerTable>,
-  older: ReadonlyMap<string, OwnerTable> | undefined,
-): readonly ServiceOwnerRanges[] {
-  const changes: ServiceOwnerRanges[] = [];
-  for (const [service, table] of owners) {
-    const last = older?.get(service);
-    if (last === table) continue;
-    const ranges = last ? table.listChangesSince(last) : table.list();
-    if (ranges.length > 0) changes.push({ service, ranges });
-  }
-  return changes;
-}
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -34,8 +34,6 @@
   readonly coordinator: RouterRef;
   /** Number of routers. */
   readonly routers: number;
-  /** All routers; absent if unchanged since the last acknowledged heartbeat. */
-  readonly routerList?: readonly RouterRef[];
   readonly configuration?: Configuration;
   readonly configurationAgeMs: number;
   readonly serversAgeMs: number;
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -98,17 +98,24 @@
     return this.#queue.size;
   }
 
-  start(): void {
-    this.#timer = setInterval(() => this.advance(), ADVANCE_INTERVAL_MS);
-  }
-
   stop(): void {
-    clearInterval(this.#timer);
+    clearTimeout(this.#timer);
   }
 
   /** Retries waiting requests; called when a server may have free capacity. */
   advance(): void {
-    if (this.#queue.size > 0) this.#queue.dispatchDue(performance.now());
+    if (this.#queue.size === 0) return;
+    this.#queue.dispatchDue(performance.now());
+    this.#scheduleAdvance();
+  }
+
+  /** Retries at short intervals, but only while requests wait. */
+  #scheduleAdvance(): void {
+    if (this.#queue.size === 0) return;
+    this.#timer ??= setTimeout(() => {
+      this.#timer = undefined;
+      this.advance();
+    }, ADVANCE_INTERVAL_MS);
   }
 
   /**
@@ -167,6 +174,7 @@
         refuse(RefusalReason.ClientLeft);
       };
       if (!this.#queue.enqueue(waiter)) refuse(RefusalReason.RoomFull);
+      this.#scheduleAdvance();
     });
   }
 
--- /dev/null
+++ b/packages/gateway/test/member_link_test.ts
@@ -0,0 +1,123 @@
+/** Heartbeats that a coordinator sends to another router. */
+import { OwnerTable, type RouterRef } from "@jaytiller/ranges";
+import { type ServerEntry, ServerState } from "@jaytiller/routing";
+import assert from "node:assert/strict";
+import { createServer } from "node:net";
+import { test } from "node:test";
+import { ClusterState } from "../src/cluster_state.js";
+import { type HeartbeatContext, MemberLink } from "../src/member_link.js";
+import { PeerServer } from "../src/peer_link.js";
+import {
+  type Heartbeat,
+  type HeartbeatReply,
+  PeerMethod,
+} from "../src/peer_messages.js";
+import { StateChanges } from "../src/state_changes.js";
+import { listen } from "./exchange_fixture.js";
+
+const COORDINATOR: RouterRef = {
+  node: "r-1",
+  incarnation: "a",
+  address: "h:1",
+  zone: "z",
+  cores: 1,
+};
+const SERVERS = 280;
+/** Heartbeats a second to a router without changes. */
+const HEARTBEATS_PER_SECOND = 2.5;
+/** Bytes a second that control may take at a node. */
+const MAX_CONTROL_BYTES_PER_SECOND = 15_000;
+
+function makeServer(index: number): ServerEntry {
+  return {
+    id: `i-${index}`,
+    born: 1,
+    service: "s",
+    address: `10.0.0.${index}:80`,
+    zone: "z",
+    slots: 3,
+    state: ServerState.Ready,
+    sequence: 1,
+  };
+}
+
+/** Starts a peer that applies each heartbeat and returns the last one. */
+async function startPeer() {
+  const address = await findFreeAddress();
+  let beat: Heartbeat | undefined;
+  const answer = (params: unknown): HeartbeatReply => {
+    beat = params as Heartbeat;
+    return {
+      term: beat.term,
+      router: { ...COORDINATOR, node: "r-2", address },
+      version: 0,
+      serversNumber: 1,
+      ownersNumber: 1,
+      keys: [],
+      times: [],
+      crashes: { crashes: [], answered: [] },
+    };
+  };
+  const [host, port] = address.split(":");
+  const listenAddress = { host: host!, port: Number(port) };
+  const server = new PeerServer(listenAddress, { [PeerMethod.Beat]: answer });
+  await server.start();
+  return { server, address, getBeat: () => beat! };
+}
+
+async function findFreeAddress(): Promise<string> {
+  const server = createServer();
+  const address = await listen(server);
+  await new Promise((resolve) => server.close(resolve));
+  return address;
+}
+
+// Guards against state of all routers in each heartbeat: at hundreds of routers
+// every router that joined made all of them receive the whole list.
+test("heartbeats without changes stay small, whatever the number of routers", async () => {
+  const { server, address, getBeat } = await startPeer();
+  const link = new MemberLink({ ...COORDINATOR, node: "r-2", address });
+  const cluster = new ClusterState();
+  const servers = Array.from({ length: SERVERS }, (_, i) => makeServer(i));
+  cluster.applyServers(
+    servers.map((entry) => ({ id: entry.id, entry })),
+    { position: 1, atMs: performance.now() },
+  );
+  const table = OwnerTable.create([{ from: 0, to: 65_535, server: "i-0" }]);
+  cluster.setOwners(new Map([["s", table]]), "1");
+  const makeContext = (routers: number): HeartbeatContext => ({
+    term: 1,
+    coordinator: COORDINATOR,
+    routers,
+    cluster,
+    changes: new StateChanges(cluster),
+    nowMs: performance.now(),
+    barred: [],
+  });
+  await link.send(makeContext(195));
+  assert.equal(getBeat().servers?.items.length, SERVERS);
+  for (const routers of [195, 196, 590]) {
+    await link.send(makeContext(routers));
+    const bytes = JSON.stringify(getBeat()).length;
+    const perSecond = bytes * HEARTBEATS_PER_SECOND;
+    assert.ok(perSecond < MAX_CONTROL_BYTES_PER_SECOND, `${perSecond} B/s`);
+    assert.equal(getBeat().routers, routers);
+  }
+  link.close();
+  server.stop();
+});
+
+test("changes from one older state are listed once", () => {
+  const cluster = new ClusterState();
+  const options = { position: 1, atMs: 0 };
+  cluster.applyServers([{ id: "i-0", entry: makeServer(0) }], options);
+  const older = cluster.servers;
+  cluster.applyServers([{ id: "i-1", entry: makeServer(1) }], {
+    position: 2,
+    atMs: 0,
+  });
+  const changes = new StateChanges(cluster);
+  assert.deepEqual(changes.listServers(older).map((c) => c.id), ["i-1"]);
+  assert.equal(changes.listServers(older), changes.listServers(older));
+  assert.equal(changes.listServers(undefined).length, 2);
+});
