placement: Use more of the retry allowance

Change: 80 of 100 of the proportional allowance and half of the burst are used. Windows of all routers together stay within the allowance for a long fault, swings, restarts in turn and a restart of all (retry_budget_test). A request's log line names the server's zone if it is another one.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -393,6 +393,13 @@
     this.#options.metrics.retainRoutes((name) => names.has(name));
   }
 
+  /** Returns the zone of the last server if it is not this router's. */
+  #findOtherZone(call: ClientCall): string | undefined {
+    const id = call.triedServers.at(-1);
+    const zone = id && this.#options.cluster.servers.find(id)?.zone;
+    return zone === this.#options.settings().zone ? undefined : zone;
+  }
+
   #log(call: ClientCall, outcome: string, result?: ExchangeResult): void {
     const { cluster, log, metrics } = this.#options;
     const nowMs = performance.now();
@@ -410,6 +417,7 @@
       end: result?.end,
       problem: result?.problem,
       unframed: result?.answer?.isUnframed || undefined,
+      serverZone: this.#findOtherZone(call),
       ms: Math.round(nowMs - call.arrivedMs),
       leftMs: Math.round(call.deadlineMs - nowMs),
       sentMs: computeOffset(call, call.sentAtMs),
--- a/packages/placement/src/retry_budget.ts
+++ b/packages/placement/src/retry_budget.ts
@@ -17,8 +17,10 @@
   readonly windowMs: number;
 }
 
-/** Share of the allowance that is used, because routers' windows differ. */
-const SAFETY_FACTOR = 0.6;
+/** Share of the proportional allowance that is used: routers' windows differ. */
+const RATIO_SHARE = 0.8;
+/** Share of the burst that is used: a router that restarts has its part again. */
+const BURST_SHARE = 0.5;
 /** Number of buckets in the sliding window. */
 const BUCKET_COUNT = 10;
 
@@ -57,8 +59,8 @@
       { requests: 0, retries: 0 },
     );
     const { ratio, burst } = this.#allowance;
-    const allowed = SAFETY_FACTOR *
-      (ratio * totals.requests + burst / Math.max(1, routers));
+    const allowed = RATIO_SHARE * ratio * totals.requests +
+      BURST_SHARE * burst / Math.max(1, routers);
     if (totals.retries + 1 > allowed) return false;
     bucket.retries += 1;
     return true;
