ranges: A lost coordinator counts as stopped once a majority follows another

Its successor waited 15 s before it counted the leases of the lost servers as expired, because a coordinator that is cut off renews leases for up to 13 s without the store.

Change: unless the store has confirmed its term within 1.5 s, a coordinator also needs a majority of the routers of its record, whose replies to heartbeats are at most 2 s old. A router that has accepted a higher term no longer accepts the lower one, so once a majority of those routers has accepted the successor's term, the earlier one stops within 2.5 s. Without a majority the store is asked every 0.4 s. A record says that its coordinator keeps to this; one of an earlier build is waited for as before. Routers without a reply for 20 s leave the list, or they would count for ever. A coordinator in a zone that is cut off together with it stops sooner than before.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -21,7 +21,7 @@
 import { CapacityEstimator } from "./capacity_estimator.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { ClusterState } from "./cluster_state.js";
-import { HeartbeatSender } from "./heartbeat_sender.js";
+import { HeartbeatSender, type SentHeartbeat } from "./heartbeat_sender.js";
 import type { HeartbeatContext } from "./member_link.js";
 import { OwnershipLog } from "./ownership_log.js";
 import { sleep } from "./sleep.js";
@@ -54,6 +54,8 @@
 export interface Claim {
   /** Offset of the claim record. */
   readonly term: number;
+  /** Monotonic time at which the claim was sent, ms. */
+  readonly sentMs: number;
   /** The preceding record, if there was one. */
   readonly inherited?: OwnershipRecord;
 }
@@ -63,6 +65,10 @@
 /** Interval between two log lines about the balance, ms. */
 const BALANCE_LOG_INTERVAL_MS = 2_000;
 const MAX_REPORTED_KEYS = 400;
+/** Time without a reply after which a router is no longer listed, ms. */
+const MAX_ROUTER_SILENCE_MS = 20_000;
+/** Interval between confirmations by the store without a majority, ms. */
+const CONFIRMATION_INTERVAL_MS = 400;
 /** Age of the server view up to which the store counts as reachable, ms. */
 const STORE_REACHABLE_MS = 1_000;
 
@@ -89,20 +95,22 @@
     this.#options = options;
     this.#term = claim.term;
     const { self, store, log } = options;
+    this.#sender = new HeartbeatSender({
+      log,
+      makeContext: () => this.#makeHeartbeatContext(),
+      onAnswer: (answer, sent) => this.#handleHeartbeatReply(answer, sent),
+    });
+    const known = claim.inherited?.routers ?? [];
+    this.#routers = [...known.filter((r) => r.node !== self.node), self];
     this.#records = new OwnershipLog({
       self,
       store,
       log,
       term: claim.term,
+      claimSentMs: claim.sentMs,
+      routers: this.#routers,
       onSuperseded: () => this.end("superseded by another router's record"),
     });
-    this.#sender = new HeartbeatSender({
-      log,
-      makeContext: () => this.#makeHeartbeatContext(),
-      onAnswer: (answer, router) => this.#handleHeartbeatReply(answer, router),
-    });
-    const known = claim.inherited?.routers ?? [];
-    this.#routers = [...known.filter((r) => r.node !== self.node), self];
     this.#predecessors = Predecessors.restore(claim.inherited, {
       self,
       claimedMs: nowMs,
@@ -197,12 +205,17 @@
   /** Removes predecessors that can no longer send grants. */
   #clear(hasEnded: (predecessor: RouterRef) => boolean): void {
     if (!this.#predecessors.clear(hasEnded)) return;
+    this.#limitInherited();
+    if (!this.#predecessors.isEmpty) return;
+    this.#options.log.record("predecessorsEnded", { term: this.#term });
+  }
+
+  /** Limits inherited leases to the time at which the predecessors stop. */
+  #limitInherited(): void {
     const nowMs = performance.now();
     const endMs = Math.max(nowMs, this.#predecessors.computeGrantEndMs());
     const untilMs = endMs + computeMaxLeaseMs(this.#options.times);
     for (const keeper of this.#keepers.values()) keeper.limitInherited(untilMs);
-    if (!this.#predecessors.isEmpty) return;
-    this.#options.log.record("predecessorsEnded", { term: this.#term });
   }
 
   #tick(): void {
@@ -233,14 +246,20 @@
     const balance = nowMs >= this.#nextBalanceMs;
     if (balance) {
       this.#nextBalanceMs = nowMs + BALANCE_INTERVAL_MS;
+      this.#removeSilentRouters();
       this.#addLocalReport();
       this.#capacityEstimator.advance(nowMs);
       const { servers } = this.#options.cluster;
       this.#capacityEstimator.retain((id) => servers.find(id) !== undefined);
     }
     const changes = new Map<string, readonly OwnerChange[]>();
+    // A predecessor may renew a lease that a planned move has released.
+    const options = {
+      nowMs,
+      balance: balance && nowMs >= this.#predecessors.computeGrantEndMs(),
+    };
     for (const [service, keeper] of this.#keepers) {
-      const planned = this.#planService(service, keeper, { nowMs, balance });
+      const planned = this.#planService(service, keeper, options);
       if (planned.length > 0) changes.set(service, planned);
     }
     const isRecordStale =
@@ -248,6 +267,14 @@
     if (changes.size > 0 || isRecordStale) void this.#writeChanges(changes);
   }
 
+  /** Forgets routers that are gone for good. One that is back joins again. */
+  #removeSilentRouters(): void {
+    const removed = this.#sender.removeSilent(MAX_ROUTER_SILENCE_MS);
+    if (removed.length === 0) return;
+    this.#routers = this.#routers.filter((r) => !removed.includes(r.node));
+    this.#options.log.record("routersRemoved", { routers: removed.join(",") });
+  }
+
   #planService(
     service: string,
     keeper: AssignmentManager,
@@ -291,12 +318,14 @@
     try {
       const fence = this.#records.position + 1;
       const nowMs = performance.now();
+      const routers = this.#routers;
       const text = encodeRecord(
         this.#makeRecord((service, keeper) =>
           keeper.preview(changes.get(service) ?? [], { nowMs, fence })
         ),
       );
-      if (!await this.#records.append(text) || this.#hasEnded) return;
+      const isStored = await this.#records.append(text, routers);
+      if (!isStored || this.#hasEnded) return;
       for (const [service, list] of changes) {
         this.#keepers.get(service)?.commit(list, {
           nowMs: performance.now(),
@@ -325,6 +354,7 @@
     return {
       coordinator: this.#options.self,
       resigned: false,
+      needsMajority: true,
       routers: this.#routers,
       predecessors: this.#predecessors.list(performance.now()),
       services: Object.fromEntries(services),
@@ -333,8 +363,17 @@
 
   async #pollOwnership(): Promise<void> {
     while (!this.#hasEnded) {
-      const isRead = await this.#records.read(LONG_POLL_TIMEOUT_MS);
-      await sleep(isRead ? TICK_INTERVAL_MS : STORE_RETRY_DELAY_MS);
+      const isUncertain = this.#records.isMajorityUncertain(performance.now());
+      const isRead = await this.#records.read(
+        isUncertain ? 0 : LONG_POLL_TIMEOUT_MS,
+      );
+      await sleep(
+        !isRead
+          ? STORE_RETRY_DELAY_MS
+          : isUncertain
+          ? CONFIRMATION_INTERVAL_MS
+          : TICK_INTERVAL_MS,
+      );
     }
   }
 
@@ -395,18 +434,33 @@
     };
   }
 
-  /** `recipient` is the router that the heartbeat was sent to. */
-  #handleHeartbeatReply(answer: HeartbeatReply, recipient: RouterRef): void {
+  #handleHeartbeatReply(answer: HeartbeatReply, sent: SentHeartbeat): void {
     if (answer.term > this.#term) {
       return this.end("a router reported a higher term");
     }
     const { router } = answer;
-    this.#clear((p) => p.node === router.node && answer.term === this.#term);
+    const { recipient } = sent;
+    if (answer.term === this.#term) this.#recordAcceptance(router, sent.atMs);
     if (router.incarnation !== recipient.incarnation) this.join(router);
     this.#capacityEstimator.addReport(answer.keys, answer.times);
     this.#crashes.add(answer.crashes, performance.now());
   }
 
+  /** Records that a router has accepted the term after `atMs`. */
+  #recordAcceptance(router: RouterRef, atMs: number): void {
+    this.#records.recordWitness(router, atMs);
+    this.#clear((p) => p.node === router.node);
+    const nowMs = performance.now();
+    if (!this.#predecessors.recordFollower(router, nowMs)) return;
+    this.#limitInherited();
+    this.#options.log.record("majorityFollows", {
+      term: this.#term,
+      predecessorsEndMs: Math.round(
+        this.#predecessors.computeGrantEndMs() - nowMs,
+      ),
+    });
+  }
+
   #addLocalReport(): void {
     const { stats } = this.#options;
     this.#capacityEstimator.addReport(
--- a/packages/gateway/src/heartbeat_sender.ts
+++ b/packages/gateway/src/heartbeat_sender.ts
@@ -13,6 +13,8 @@
   readonly link: MemberLink;
   nextSendMs: number;
   isLost: boolean;
+  /** Monotonic time of its last reply, or of its addition, ms. */
+  heardMs: number;
 }
 
 /** Dependencies of a heartbeat sender. */
@@ -20,8 +22,15 @@
   readonly log: EventLog;
   /** Returns the content of the next heartbeats. */
   readonly makeContext: () => HeartbeatContext;
-  /** Called on a reply; `router` is the recipient that was addressed. */
-  readonly onAnswer: (answer: HeartbeatReply, router: RouterRef) => void;
+  /** Called on a reply to a heartbeat. */
+  readonly onAnswer: (answer: HeartbeatReply, sent: SentHeartbeat) => void;
+}
+
+/** A heartbeat that got a reply. */
+export interface SentHeartbeat {
+  readonly recipient: RouterRef;
+  /** Monotonic time at which it was sent, ms. */
+  readonly atMs: number;
 }
 
 /** Maintains the coordinator's links to the other routers. */
@@ -39,7 +48,23 @@
   add(router: RouterRef): void {
     this.#members.get(router.node)?.link.close();
     const link = new MemberLink(router);
-    this.#members.set(router.node, { link, nextSendMs: 0, isLost: false });
+    this.#members.set(router.node, {
+      link,
+      nextSendMs: 0,
+      isLost: false,
+      heardMs: performance.now(),
+    });
+  }
+
+  /** Removes routers without a reply for `silentMs`; returns their nodes. */
+  removeSilent(silentMs: number): readonly string[] {
+    const sinceMs = performance.now() - silentMs;
+    const silent = [...this.#members].filter(([, m]) => m.heardMs < sinceMs);
+    for (const [node, { link }] of silent) {
+      link.close();
+      this.#members.delete(node);
+    }
+    return silent.map(([node]) => node);
   }
 
   /** Sends the heartbeats that are due. */
@@ -76,8 +101,12 @@
     member.nextSendMs = context.nowMs + HEARTBEAT_INTERVAL_MS;
     member.link.send(context).then(
       (answer) => {
+        member.heardMs = performance.now();
         this.#setLost(member, false);
-        this.#options.onAnswer(answer, member.link.router);
+        this.#options.onAnswer(answer, {
+          recipient: member.link.router,
+          atMs: context.nowMs,
+        });
       },
       (error: unknown) => {
         if (!(error instanceof PeerError)) throw error;
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -401,6 +401,7 @@
     const text = encodeRecord({
       coordinator: self,
       resigned: false,
+      needsMajority: true,
       routers: [...others, self],
       predecessors: record ? listPredecessors(record, self) : [],
       services: record?.services ?? {},
@@ -421,6 +422,7 @@
     this.#coordinatorHeardAt = -Infinity;
     this.#localCoordinator = createCoordinator({
       term: newest.position,
+      sentMs: sentAt,
       ...(record ? { inherited: record } : {}),
     });
     this.#localCoordinator.start();
--- a/packages/gateway/src/ownership_log.ts
+++ b/packages/gateway/src/ownership_log.ts
@@ -12,6 +12,10 @@
   readonly log: EventLog;
   /** Offset of the claim that began the term. */
   readonly term: number;
+  /** Monotonic time at which the claim was sent, ms. */
+  readonly claimSentMs: number;
+  /** Routers of the claim's record. */
+  readonly routers: readonly RouterRef[];
   /** Called when another router's record is found. */
   readonly onSuperseded: () => void;
 }
@@ -25,11 +29,10 @@
   #hasEnded = false;
 
   constructor(options: OwnershipLogOptions) {
-    const nowMs = performance.now();
     this.#options = options;
-    this.#termGuard = TermGuard.create(nowMs);
+    this.#termGuard = TermGuard.create(options.claimSentMs, options);
     this.#position = options.term + 1;
-    this.#writtenAt = nowMs;
+    this.#writtenAt = performance.now();
   }
 
   /** Offset of the next record. */
@@ -47,14 +50,31 @@
     return this.#termGuard.mayGrant(nowMs);
   }
 
+  /** Returns whether the store has to confirm the term at short intervals. */
+  isMajorityUncertain(nowMs: number): boolean {
+    return this.#termGuard.isMajorityUncertain(nowMs);
+  }
+
+  /** Records that a router has accepted the term, at `atMs` or later. */
+  recordWitness(router: RouterRef, atMs: number): void {
+    this.#termGuard.witnesses.record(router, atMs);
+  }
+
   /** Stops retries. */
   end(): void {
     this.#hasEnded = true;
   }
 
-  /** Appends a record at the position; returns whether it was stored. */
-  async append(text: string): Promise<boolean> {
+  /**
+   * Appends a record that lists `routers` at the position; returns whether it
+   * was stored.
+   */
+  async append(
+    text: string,
+    routers: readonly RouterRef[],
+  ): Promise<boolean> {
     const at = this.#position;
+    this.#termGuard.witnesses.propose(routers);
     while (!this.#hasEnded) {
       const sentAt = performance.now();
       const result = await this.#options.store.appendOwnership(text, at);
@@ -64,6 +84,7 @@
       if (isDone) {
         this.#position = at + 1;
         this.#termGuard.confirm(sentAt);
+        this.#termGuard.witnesses.confirm(routers);
         this.#writtenAt = performance.now();
         return true;
       }
--- a/packages/ranges/src/mod.ts
+++ b/packages/ranges/src/mod.ts
@@ -12,3 +12,4 @@
 export * from "./assignment_manager.js";
 export * from "./record.js";
 export * from "./term_guard.js";
+export * from "./term_witnesses.js";
--- a/packages/ranges/src/predecessors.ts
+++ b/packages/ranges/src/predecessors.ts
@@ -1,6 +1,6 @@
 /** Tracks earlier coordinators that may still send grants. @module */
 import type { OwnershipRecord, RouterRef } from "./record.js";
-import { PREDECESSOR_TIMEOUT_MS } from "./term_guard.js";
+import { computeOutvotedMs, PREDECESSOR_TIMEOUT_MS } from "./term_guard.js";
 
 /** An earlier coordinator, as stored in a record. */
 export interface Predecessor {
@@ -18,10 +18,30 @@
 export class Predecessors {
   readonly #claimedMs: number;
   #predecessors: readonly Predecessor[];
+  /** The last one, if it stops without a majority of its routers. */
+  readonly #last: RouterRef | undefined;
+  /** Nodes of the routers of its record. */
+  readonly #lastRouters: ReadonlySet<string>;
+  /** Those of them that have accepted this router's term. */
+  readonly #followers: Set<string>;
+  /** Time at which they became a majority, ms. */
+  #majorityMs: number | undefined;
 
-  private constructor(list: readonly Predecessor[], claimedMs: number) {
+  private constructor(
+    list: readonly Predecessor[],
+    options: {
+      claimedMs: number;
+      self: RouterRef;
+      record: OwnershipRecord | undefined;
+    },
+  ) {
+    const { record, self, claimedMs } = options;
     this.#predecessors = list;
     this.#claimedMs = claimedMs;
+    this.#last = record?.needsMajority ? record.coordinator : undefined;
+    this.#lastRouters = new Set(record?.routers.map((r) => r.node));
+    this.#followers = new Set();
+    this.recordFollower(self, claimedMs);
   }
 
   /** Restores the list from the record that `self` succeeded at `claimedMs`. */
@@ -30,7 +50,7 @@
     options: { self: RouterRef; claimedMs: number },
   ): Predecessors {
     const list = record ? listPredecessors(record, options.self) : [];
-    return new Predecessors(list, options.claimedMs);
+    return new Predecessors(list, { ...options, record });
   }
 
   get isEmpty(): boolean {
@@ -41,6 +61,7 @@
   list(nowMs: number): readonly Predecessor[] {
     const passedMs = nowMs - this.#claimedMs;
     return this.#predecessors
+      .filter((p) => nowMs < this.#computeEndMs(p))
       .map(({ router, followedMs }) => ({
         router,
         followedMs: Math.floor(followedMs + passedMs),
@@ -50,11 +71,33 @@
 
   /** Returns the time by which all of them have stopped sending grants, ms. */
   computeGrantEndMs(): number {
-    const latestFollowedMs = Math.min(
-      ...this.#predecessors.map((p) => p.followedMs),
-    );
-    return this.isEmpty ? this.#claimedMs : this.#claimedMs +
-      Math.max(0, PREDECESSOR_TIMEOUT_MS - latestFollowedMs);
+    const ends = this.#predecessors.map((p) => this.#computeEndMs(p));
+    return Math.max(this.#claimedMs, ...ends);
+  }
+
+  /**
+   * Records that a router has accepted this router's term. Another process of
+   * it counts as well, because the one that the record names has ended. Returns
+   * whether the last predecessor is known to stop earlier by that.
+   */
+  recordFollower({ node }: RouterRef, nowMs: number): boolean {
+    if (this.#majorityMs !== undefined || !this.#lastRouters.has(node)) {
+      return false;
+    }
+    this.#followers.add(node);
+    if (this.#followers.size <= this.#lastRouters.size / 2) return false;
+    this.#majorityMs = nowMs;
+    return this.#last !== undefined;
+  }
+
+  #computeEndMs({ router, followedMs }: Predecessor): number {
+    const claimedMs = this.#claimedMs;
+    const timeoutMs = claimedMs +
+      Math.max(0, PREDECESSOR_TIMEOUT_MS - followedMs);
+    const majorityMs = this.#majorityMs;
+    const isLast = router.incarnation === this.#last?.incarnation;
+    if (!isLast || majorityMs === undefined) return timeoutMs;
+    return Math.min(timeoutMs, computeOutvotedMs({ claimedMs, majorityMs }));
   }
 
   /**
--- a/packages/ranges/src/record.ts
+++ b/packages/ranges/src/record.ts
@@ -28,6 +28,11 @@
   readonly coordinator: RouterRef;
   /** Whether the coordinator stopped as planned and sends no more calls. */
   readonly resigned: boolean;
+  /**
+   * Whether the coordinator stops sending grants without a majority of the
+   * routers; those of earlier builds do not.
+   */
+  readonly needsMajority: boolean;
   readonly routers: readonly RouterRef[];
   /** Earlier coordinators that may still send grants. */
   readonly predecessors: readonly Predecessor[];
@@ -47,6 +52,7 @@
 interface EncodedRecord {
   readonly by: RouterRef;
   readonly resigned?: boolean;
+  readonly needsMajority?: boolean;
   readonly routers: readonly RouterRef[];
   readonly predecessors: readonly Predecessor[];
   readonly services: Readonly<Record<string, readonly EncodedRange[]>>;
@@ -60,6 +66,7 @@
   const plain: EncodedRecord = {
     by: record.coordinator,
     ...(record.resigned ? { resigned: true } : {}),
+    ...(record.needsMajority ? { needsMajority: true } : {}),
     routers: record.routers,
     predecessors: record.predecessors,
     services: Object.fromEntries(
@@ -81,6 +88,7 @@
   return {
     coordinator: plain.by,
     resigned: plain.resigned ?? false,
+    needsMajority: plain.needsMajority ?? false,
     routers: plain.routers,
     predecessors: plain.predecessors,
     services: Object.fromEntries(
--- a/packages/ranges/test/ownership_model.ts
+++ b/packages/ranges/test/ownership_model.ts
@@ -27,6 +27,9 @@
 const SERVICE = "spec";
 const TIMES: LeaseTimes = { holdMs: 3_000, renewMs: 900, clockSkew: 0.02 };
 const CALL_TIMEOUT_MS = 600;
+const HEARTBEAT_INTERVAL_MS = 400;
+/** Largest delay of a heartbeat, and of its reply, ms. */
+const MAX_DELIVERY_MS = 350;
 /** Delay, in steps, until routers learn of a server's start. */
 const VIEW_LAG_STEPS = 12;
 const SAMPLE_KEYS = Array.from(
@@ -44,12 +47,15 @@
   readonly stopUnconfirmedTerms: boolean;
   /** Changes are written to the store before their grants are sent. */
   readonly writeBeforeGrant: boolean;
+  /** A coordinator without a majority stops sending grants. */
+  readonly stopWithoutMajority: boolean;
 }
 
 export const ALL_SAFEGUARDS: Safeguards = {
   allowForClockSkew: true,
   stopUnconfirmedTerms: true,
   writeBeforeGrant: true,
+  stopWithoutMajority: true,
 };
 
 export type Random = () => number;
@@ -141,11 +147,18 @@
   manager: AssignmentManager | undefined;
   guard: TermGuard | undefined;
   term = -1;
+  /** Highest term that it has accepted; lost with its process. */
+  acceptedTerm = -1;
+  /** Routers that it lists in its records as the coordinator. */
+  knownRouters: readonly RouterRef[] = [];
   predecessors: Predecessors | undefined;
   lastTickMs = -1;
   /** Whether a write to the store is in progress. */
   isWriting = false;
+  /** Servers that it does not reach. */
   readonly cut = new Set<string>();
+  /** Number of faults that cut it off from all other routers. */
+  isolations = 0;
 
   constructor(readonly node: string) {}
 
@@ -174,6 +187,7 @@
   pauseRouter: 0.004,
   disconnectStore: 0.005,
   disconnectServer: 0.01,
+  isolateRouter: 0.004,
   crashServer: 0.004,
   claim: 0.004,
   loseAnswer: 0.03,
@@ -214,7 +228,8 @@
       : { ...TIMES, clockSkew: -0.9 };
     const ids = ["s1", "s2", "s3", "s4"];
     this.#servers = ids.map((id) => new ModelServer(id, this.#random));
-    this.#routers = ["r1", "r2", "r3"].map((n) => new ModelRouter(n));
+    this.#routers = ["r1", "r2", "r3", "r4", "r5"]
+      .map((n) => new ModelRouter(n));
   }
 
   run(steps: number): void {
@@ -260,6 +275,7 @@
     if (this.#drawBoolean(FAULT_PROBABILITIES.kill) && router.isUp) {
       router.isUp = false;
       router.endTerm();
+      router.acceptedTerm = -1;
       this.#schedule(this.#drawBetween(500, 8_000), () => {
         router.isUp = true;
         router.incarnation += 1;
@@ -275,6 +291,15 @@
         () => router.isStoreReachable = true,
       );
     }
+    if (this.#drawBoolean(FAULT_PROBABILITIES.isolateRouter)) {
+      const durationMs = this.#drawBetween(500, 16_000);
+      router.isolations += 1;
+      router.isStoreReachable = false;
+      this.#schedule(durationMs, () => {
+        router.isolations -= 1;
+        router.isStoreReachable = true;
+      });
+    }
     if (this.#drawBoolean(FAULT_PROBABILITIES.disconnectServer)) {
       router.cut.add(server.id);
       this.#schedule(
@@ -321,8 +346,13 @@
     if (gapMs > 500) router.guard!.suspend(this.nowMs);
     if (router.isStoreReachable) this.#confirmTerm(router);
     if (!router.manager) return;
-    this.#clearPredecessors(router);
+    if (this.nowMs % HEARTBEAT_INTERVAL_MS === 0) this.#sendHeartbeats(router);
     this.#plan(router);
+    if (!this.#safeguards.stopWithoutMajority) {
+      for (const known of router.knownRouters) {
+        router.guard!.witnesses.record(known, this.nowMs);
+      }
+    }
     const mayGrant = router.guard!.mayGrant(this.nowMs) ||
       !this.#safeguards.stopUnconfirmedTerms;
     if (!mayGrant || !router.manager) return;
@@ -356,7 +386,13 @@
       claimedMs: this.nowMs,
     });
     router.term = this.#log.length;
-    router.guard = TermGuard.create(this.nowMs);
+    router.acceptedTerm = router.term;
+    const others = record?.routers.filter((r) => r.node !== router.node) ?? [];
+    router.knownRouters = [...others, router.ref];
+    router.guard = TermGuard.create(this.nowMs, {
+      self: router.ref,
+      routers: router.knownRouters,
+    });
     const list = record?.services[SERVICE] ?? [];
     this.#log.push(this.#makeRecord(router, list));
     const inheritedUntilMs = router.predecessors.computeGrantEndMs() +
@@ -371,25 +407,62 @@
     return encodeRecord({
       coordinator: router.ref,
       resigned: false,
-      routers: [],
+      needsMajority: true,
+      routers: router.knownRouters,
       predecessors: router.predecessors!.list(this.nowMs),
       services: { [SERVICE]: list },
     });
   }
 
-  /**
-   * Clears predecessors that are certain to have ended their terms: those that
-   * restarted, and those that can be reached, which end theirs when asked.
-   */
-  #clearPredecessors(router: ModelRouter): void {
+  /** Sends a heartbeat to each other router; any of them may be lost. */
+  #sendHeartbeats(router: ModelRouter): void {
+    const sentMs = this.nowMs;
+    const { manager, term } = router;
+    for (const peer of this.#routers) {
+      if (peer === router) continue;
+      this.#schedule(this.#drawBetween(0, MAX_DELIVERY_MS), () => {
+        if (!this.#areConnected(router, peer)) return;
+        const acceptedTerm = this.#acceptHeartbeat(peer, term);
+        const { ref } = peer;
+        this.#schedule(this.#drawBetween(0, MAX_DELIVERY_MS), () => {
+          if (!this.#areConnected(router, peer)) return;
+          if (router.manager !== manager) return;
+          this.#handleReply(router, { peer: ref, acceptedTerm, sentMs });
+        });
+      });
+    }
+  }
+
+  #areConnected(one: ModelRouter, other: ModelRouter): boolean {
+    return [one, other].every((r) =>
+      r.isUp && r.isolations === 0 && this.nowMs >= r.pausedUntilMs
+    );
+  }
+
+  /** Returns the term that the router has accepted, this one or a higher one. */
+  #acceptHeartbeat(peer: ModelRouter, term: number): number {
+    if (term < peer.acceptedTerm) return peer.acceptedTerm;
+    if (term > peer.acceptedTerm && peer.manager) peer.endTerm();
+    peer.acceptedTerm = term;
+    return term;
+  }
+
+  #handleReply(
+    router: ModelRouter,
+    reply: { peer: RouterRef; acceptedTerm: number; sentMs: number },
+  ): void {
+    const { peer, acceptedTerm, sentMs } = reply;
+    if (acceptedTerm > router.term) return router.endTerm();
+    const known = router.knownRouters.filter((r) => r.node !== peer.node);
+    const isKnown = router.knownRouters.some((r) =>
+      r.incarnation === peer.incarnation
+    );
+    if (!isKnown) router.knownRouters = [...known, peer];
+    router.guard!.witnesses.record(peer, sentMs);
     const predecessors = router.predecessors!;
-    const isCleared = predecessors.clear((p) => {
-      const other = this.#routers.find((r) => r.node === p.node)!;
-      const isRunning = other.isUp && this.nowMs >= other.pausedUntilMs;
-      if (isRunning && other.ref.incarnation === p.incarnation) other.endTerm();
-      return isRunning;
-    });
-    if (!isCleared) return;
+    const isCleared = predecessors.clear((p) => p.node === peer.node);
+    const isOutvoted = predecessors.recordFollower(peer, this.nowMs);
+    if (!isCleared && !isOutvoted) return;
     const endMs = Math.max(this.nowMs, predecessors.computeGrantEndMs());
     router.manager!.limitInherited(endMs + computeMaxLeaseMs(TIMES));
   }
@@ -405,7 +478,8 @@
       view,
       load: this.#load,
       getCapacity: () => 12,
-      balance,
+      balance: balance &&
+        this.nowMs >= router.predecessors!.computeGrantEndMs(),
       isSettling: false,
     });
     if (changes.length === 0) return;
@@ -423,9 +497,12 @@
       router,
       manager.preview(changes, makeContext()),
     );
+    const routers = router.knownRouters;
+    router.guard!.witnesses.propose(routers);
     const finish = () => {
       if (router.manager !== manager) return;
       router.isWriting = false;
+      router.guard!.witnesses.confirm(routers);
       manager.commit(changes, makeContext());
       this.moves += changes.length;
     };
--- a/packages/ranges/test/ownership_model_test.ts
+++ b/packages/ranges/test/ownership_model_test.ts
@@ -45,6 +45,7 @@
   "allowForClockSkew",
   "stopUnconfirmedTerms",
   "writeBeforeGrant",
+  "stopWithoutMajority",
 ];
 
 for (const name of SAFEGUARDS) {
--- a/packages/ranges/test/predecessors_test.ts
+++ b/packages/ranges/test/predecessors_test.ts
@@ -82,6 +82,7 @@
   return {
     coordinator: self,
     resigned: term.resigned ?? false,
+    needsMajority: false,
     routers: [self],
     predecessors: predecessors.list(term.writtenMs),
     services: {},
@@ -103,3 +104,67 @@
   const record = writeRecord({ node: "a", fromMs: 0, writtenMs: 1 }, undefined);
   assert.deepEqual(listPredecessors(record, makeRef("a")), []);
 });
+
+interface MajorityCase {
+  readonly title: string;
+  /** Routers in the record of the lost coordinator `a`. */
+  readonly routers: readonly string[];
+  readonly needsMajority: boolean;
+  /** Nodes and times at which they accept the successor's term, in order. */
+  readonly followers: readonly (readonly [string, number])[];
+  /** Time by which `a` has stopped, ms after the claim. */
+  readonly endMs: number;
+}
+
+const MAJORITY_CASES: readonly MajorityCase[] = [
+  {
+    title: "a majority follows: the coordinator has none any more",
+    routers: ["a", "b", "c", "d", "e"],
+    needsMajority: true,
+    followers: [["b", 100], ["c", 400]],
+    endMs: 400 + 2_000 + 500,
+  },
+  {
+    title: "half of the routers follow",
+    routers: ["a", "b", "c", "last"],
+    needsMajority: true,
+    followers: [["b", 100]],
+    endMs: PREDECESSOR_TIMEOUT_MS,
+  },
+  {
+    title: "routers follow that the record does not list",
+    routers: ["a", "b", "c"],
+    needsMajority: true,
+    followers: [["x", 100], ["y", 100], ["z", 100]],
+    endMs: PREDECESSOR_TIMEOUT_MS,
+  },
+  {
+    title: "an earlier build goes on without a majority",
+    routers: ["a", "b", "c", "last"],
+    needsMajority: false,
+    followers: [["b", 100], ["c", 100]],
+    endMs: PREDECESSOR_TIMEOUT_MS,
+  },
+];
+
+for (const majority of MAJORITY_CASES) {
+  test(`a lost coordinator whose routers follow: ${majority.title}`, () => {
+    const claimedMs = 50_000;
+    const record: OwnershipRecord = {
+      coordinator: makeRef("a"),
+      resigned: false,
+      needsMajority: majority.needsMajority,
+      routers: majority.routers.map(makeRef),
+      predecessors: [],
+      services: {},
+    };
+    const self = makeRef(majority.routers.includes("last") ? "last" : "e");
+    const predecessors = Predecessors.restore(record, { self, claimedMs });
+    for (const [node, afterMs] of majority.followers) {
+      predecessors.recordFollower(makeRef(node), claimedMs + afterMs);
+    }
+    const endMs = predecessors.computeGrantEndMs();
+    assert.equal(endMs, claimedMs + majority.endMs);
+    assert.equal(predecessors.list(endMs).length, 0);
+  });
+}
--- a/packages/ranges/test/range_changes_test.ts
+++ b/packages/ranges/test/range_changes_test.ts
@@ -96,6 +96,7 @@
   const record = decodeRecord(encodeRecord({
     coordinator: ROUTER,
     resigned: false,
+    needsMajority: true,
     routers: [ROUTER],
     predecessors: [],
     services: { s: written },
