ranges: Move a hot key to the fastest server, and prefer fast servers

Change: a key that alone exceeds its server's capacity moves to the server with the most capacity left, if that is 1.3 times faster. While the mean utilization is below 0.6, capacities are weighted in favor of fast servers. Load by server moves to server_usage.ts.

Measured: two new cases of balance_test fail on the code before (the fastest server has 0 of 40 requests of the hot key; the slow one keeps 2.1 of 6).

--- a/packages/ranges/src/assignment_manager.ts
+++ b/packages/ranges/src/assignment_manager.ts
@@ -16,7 +16,6 @@
 } from "./assignment.js";
 import {
   type BalanceSummary,
-  type OwnerCandidate,
   planBalance,
   summarizeBalance,
 } from "./balance.js";
@@ -30,6 +29,11 @@
   type LeaseCallResult,
 } from "./lease_calls.js";
 import { OwnerTable } from "./owner_table.js";
+import {
+  listOverloadedServers,
+  type OverloadedServer,
+  type OwnerCandidate,
+} from "./server_usage.js";
 import { planMerges } from "./range_merges.js";
 
 /** Timing of leases. */
@@ -243,6 +247,12 @@
     return summarizeBalance(this.#assignments, candidates, context.load);
   }
 
+  /** Lists the servers with more load than capacity. */
+  listOverloaded(context: PlanContext): readonly OverloadedServer[] {
+    const candidates = this.#listCandidates(context);
+    return listOverloadedServers(this.#assignments, candidates, context.load);
+  }
+
   /**
    * Returns the ranges for the record that announces the changes. Until the
    * store confirms the record, current owners still receive grants and
--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -12,13 +12,14 @@
   OwnerChange,
   ServerIncarnation,
 } from "./assignment.js";
+import { planHotKeyMove } from "./hot_keys.js";
 import type { KeyLoad } from "./key_load.js";
-
-/** A server that is eligible to own keys. */
-export interface OwnerCandidate extends ServerIncarnation {
-  /** Requests per second that the server can process. */
-  readonly capacity: number;
-}
+import {
+  computeUtilization,
+  listServerUsage,
+  type OwnerCandidate,
+  type ServerUsage,
+} from "./server_usage.js";
 
 /** Limits on one balancing plan. */
 export interface BalanceOptions {
@@ -29,7 +30,7 @@
 }
 
 /** Keys do not move away from a server below this utilization. */
-const MIN_SOURCE_UTILIZATION = 0.55;
+const MIN_SOURCE_UTILIZATION = 0.45;
 /**
  * Keys move away from a server above the mean utilization times this factor.
  */
@@ -38,16 +39,11 @@
  * Time between moves of a range, so that load reports reflect the last one, ms.
  */
 const MIN_MOVE_INTERVAL_MS = 1_200;
+/** Mean utilization from which fast servers are no longer preferred. */
+const MAX_PREFERENCE_UTILIZATION = 0.6;
 /** Minimum share of the source server's load that a move must carry. */
 const MIN_MOVED_LOAD_SHARE = 0.08;
 
-/** A server with its ranges and their total load, requests per second. */
-interface ServerUsage {
-  readonly candidate: OwnerCandidate;
-  load: number;
-  readonly ranges: Assignment[];
-}
-
 /** Load distribution across servers, for the log. */
 export interface BalanceSummary {
   readonly servers: number;
@@ -89,8 +85,13 @@
   candidates: readonly OwnerCandidate[],
   options: BalanceOptions & { load: KeyLoad },
 ): readonly OwnerChange[] {
-  const usages = listServerUsage(assignments, candidates, options.load);
-  const changes: OwnerChange[] = [];
+  const usages = listServerUsage(
+    assignments,
+    preferFastServers(candidates, options.load.total),
+    options.load,
+  );
+  const changes = [...planHotKeyMoves(usages, options)];
+  if (changes.length > 0) return changes;
   const excluded = new Set<ServerUsage>();
   while (changes.length < options.maxMoves) {
     const pair = chooseMovePair(usages, excluded);
@@ -107,23 +108,40 @@
   return changes;
 }
 
-function listServerUsage(
-  assignments: readonly Assignment[],
+/**
+ * Weights capacities in favor of fast servers while the load is low: a request
+ * takes less time there, and waiting is rare anyway. `load` is in requests per
+ * second.
+ */
+function preferFastServers(
   candidates: readonly OwnerCandidate[],
-  load: KeyLoad,
-): readonly ServerUsage[] {
-  const usages = new Map(
-    candidates.map((
-      c,
-    ) => [c.id, { candidate: c, load: 0, ranges: [] } as ServerUsage]),
+  load: number,
+): readonly OwnerCandidate[] {
+  const total = candidates.reduce((sum, c) => sum + c.capacity, 0);
+  const mean = total / candidates.length;
+  const preference = Math.max(0, 1 - load / total / MAX_PREFERENCE_UTILIZATION);
+  const weights = candidates.map(({ capacity }) =>
+    capacity * (capacity / mean) ** preference
   );
-  for (const a of assignments) {
-    const usage = a.owner ? usages.get(a.owner.id) : undefined;
-    if (!usage) continue;
-    usage.load += load.sum(a.from, a.to);
-    usage.ranges.push(a);
-  }
-  return [...usages.values()];
+  const scale = total / weights.reduce((sum, weight) => sum + weight, 0);
+  return candidates.map((candidate, i) => ({
+    ...candidate,
+    capacity: weights[i]! * scale,
+  }));
+}
+
+/** Plans the moves of keys that are too hot for their servers. */
+function planHotKeyMoves(
+  usages: readonly ServerUsage[],
+  options: BalanceOptions & { load: KeyLoad },
+): readonly OwnerChange[] {
+  if (!options.maySplit) return [];
+  return usages.flatMap((source) =>
+    planHotKeyMove(source, usages, {
+      load: options.load,
+      isMovable: (range) => isMovable(range, options.nowMs),
+    }) ?? []
+  ).slice(0, 1);
 }
 
 interface MovePair {
@@ -169,11 +187,6 @@
   return best;
 }
 
-/** Returns the load of a server as a share of its capacity. */
-function computeUtilization(usage: ServerUsage): number {
-  return usage.load / usage.candidate.capacity;
-}
-
 function planMove(
   { source, target }: MovePair,
   options: BalanceOptions & { load: KeyLoad },
--- a/packages/ranges/src/key_distribution.ts
+++ b/packages/ranges/src/key_distribution.ts
@@ -4,7 +4,7 @@
  */
 import { KEY_COUNT } from "@jaytiller/routing";
 import type { Assignment, OwnerChange } from "./assignment.js";
-import type { OwnerCandidate } from "./balance.js";
+import type { OwnerCandidate } from "./server_usage.js";
 import type { KeyLoad } from "./key_load.js";
 
 /** Maximum number of parts that a range in need of an owner is split into. */
--- a/packages/ranges/test/balance_test.ts
+++ b/packages/ranges/test/balance_test.ts
@@ -6,17 +6,25 @@
   KeyLoad,
   type OwnerCandidate,
   planBalance,
+  splitKeySpace,
 } from "../src/mod.js";
 
 const NOW_MS = 10_000;
 const CAPACITY = 10;
 
-interface Case {
-  readonly failure: string;
-  readonly servers: number;
-  /** Requests per second by key; initially the first server owns all keys. */
+/** Servers, their load, and how often it is balanced. */
+interface Scenario {
+  /** Requests per second that each server can process. */
+  readonly capacities: readonly number[];
+  /** Requests per second by key. */
   readonly load: Readonly<Record<number, number>>;
   readonly rounds: number;
+  /** Whether all servers own equal parts initially, or the first one all. */
+  readonly isSplit?: boolean;
+}
+
+interface Case extends Scenario {
+  readonly failure: string;
   /** Load of the busiest server after the rounds, requests per second. */
   readonly busiest: number;
 }
@@ -24,7 +32,7 @@
 const CASES: readonly Case[] = [
   {
     failure: "an overloaded server sheds keys so slowly that requests are lost",
-    servers: 15,
+    capacities: Array.from({ length: 15 }, () => CAPACITY),
     // Adjacent hot keys, all on one server.
     load: Object.fromEntries(
       Array.from({ length: 60 }, (_, i) => [30_000 + i, 1.5]),
@@ -34,7 +42,7 @@
   },
   {
     failure: "adjacent keys stay with a key that exceeds any server's capacity",
-    servers: 4,
+    capacities: Array.from({ length: 4 }, () => CAPACITY),
     load: { 100: 40, 101: 6, 99: 6, 60_000: 4 },
     rounds: 3,
     busiest: 40.1,
@@ -42,24 +50,29 @@
 ];
 
 /**
- * Plans and applies moves for some rounds; returns the load of the busiest
- * server. Moves take effect at once, and ranges may move again in each round.
+ * Plans and applies moves for some rounds; returns the load of each server, by
+ * its index. Moves take effect at once, and ranges may move again in each round.
  */
-function simulateRounds({ servers, load: rates, rounds }: Case): number {
+function simulateRounds(scenario: Scenario): readonly number[] {
+  const { capacities, load: rates, rounds } = scenario;
   const load = KeyLoad.create({ timeConstantMs: 1_000 });
   load.advance(NOW_MS);
   for (const [key, rate] of Object.entries(rates)) load.add(Number(key), rate);
   load.advance(NOW_MS);
   const scale = load.total / Object.values(rates).reduce((a, b) => a + b, 0);
-  const candidates = Array.from(
-    { length: servers },
-    (_, i): OwnerCandidate => ({
-      id: `i-${i}`,
-      born: 1,
-      capacity: CAPACITY * scale,
-    }),
+  const candidates = capacities.map((capacity, i): OwnerCandidate => ({
+    id: `i-${i}`,
+    born: 1,
+    capacity: capacity * scale,
+  }));
+  const first = scenario.isSplit ? candidates : candidates.slice(0, 1);
+  const equal = first.map((candidate) => ({ ...candidate, capacity: 1 }));
+  let owners = new Map(
+    splitKeySpace(equal).map(({ from, to, owner }) => [
+      from,
+      { to, id: owner.id },
+    ]),
   );
-  let owners = new Map([[0, { to: 65_535, id: "i-0" }]]);
   const list = () =>
     [...owners].map(([from, { to, id }]): Assignment => ({
       from,
@@ -90,16 +103,40 @@
     const { id } = a.owner!;
     sums.set(id, (sums.get(id) ?? 0) + load.sum(a.from, a.to) / scale);
   }
-  return Math.max(...sums.values());
+  return candidates.map(({ id }) => sums.get(id) ?? 0);
 }
 
 for (const balanceCase of CASES) {
   const { failure, busiest } = balanceCase;
   test(`balance, guards against: ${failure}`, () => {
-    const load = simulateRounds(balanceCase);
+    const load = Math.max(...simulateRounds(balanceCase));
     assert.ok(
       load <= busiest,
       `the busiest server has ${load} requests per second`,
     );
   });
 }
+
+test("a key that no server can process is owned by the fastest one", () => {
+  const loads = simulateRounds({
+    capacities: [5, 5, 12],
+    load: { 100: 40, 101: 1, 30_000: 2 },
+    rounds: 4,
+  });
+  assert.ok(loads[2]! >= 40, `the fastest server has ${loads[2]} per second`);
+});
+
+test("slow servers get few of the requests while the load is low", () => {
+  const uniform = Object.fromEntries(
+    Array.from({ length: 128 }, (_, i) => [512 * i, 6 / 128]),
+  );
+  const [slow, ...fast] = simulateRounds({
+    capacities: [5, 12, 12],
+    load: uniform,
+    rounds: 12,
+    isSplit: true,
+  });
+  // Initially it has 2.
+  assert.ok(slow! < 1.3, `the slow server has ${slow} requests per second`);
+  assert.ok(Math.max(...fast) < 6);
+});
