placement: Bound what all routers together send to a server

Cause: no router knows of the others' requests for a server. Each started with a limit of 4 and raised it by 0.3 for each response that did not report a queue longer than the slots. Servers of that service never respond to a request that they cannot queue.

Change: the first limit is the router's share of what the server can hold. It grows only if it is used, and follows the occupancy that servers report, with a target of 1.5 requests for each slot; below one, a router pauses between requests. A missing response counts like a rejection unless the server has reported room. The coordinator tells all routers which share of the requests an overloaded owner can process; they refuse the rest at once. A request waits at the router only if it then meets 0.8 of its target. A server that rejects requests with free slots counts as failing, not as full.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -16,8 +16,11 @@
   Predecessors,
   type RouterRef,
 } from "@jaytiller/ranges";
-import { PoisonRequestTracker } from "@jaytiller/placement";
-import type { HeartbeatReply } from "./peer_messages.js";
+import {
+  computeAdmissionShare,
+  PoisonRequestTracker,
+} from "@jaytiller/placement";
+import type { AdmissionShare, HeartbeatReply } from "./peer_messages.js";
 import { CapacityEstimator } from "./capacity_estimator.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { ClusterState } from "./cluster_state.js";
@@ -84,6 +87,7 @@
   readonly #pauseDetector = new PauseDetector();
   readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
+  #overloaded: readonly AdmissionShare[] = [];
   #isWriting = false;
   #nextBalanceMs = 0;
   #nextBalanceLogMs = 0;
@@ -251,6 +255,7 @@
       this.#capacityEstimator.advance(nowMs);
       const { servers } = this.#options.cluster;
       this.#capacityEstimator.retain((id) => servers.find(id) !== undefined);
+      this.#limitAdmission(nowMs);
     }
     const changes = new Map<string, readonly OwnerChange[]>();
     // A predecessor may renew a lease that a planned move has released.
@@ -280,16 +285,37 @@
     keeper: AssignmentManager,
     options: { nowMs: number; balance: boolean },
   ): readonly OwnerChange[] {
+    const context = this.#makePlanContext(service, options);
+    if (options.balance) this.#logBalance(service, keeper, context);
+    return keeper.plan(context);
+  }
+
+  #makePlanContext(
+    service: string,
+    options: { nowMs: number; balance: boolean },
+  ): PlanContext {
     const view = this.#options.cluster.servers;
-    const context = {
+    return {
       ...options,
       view,
       load: this.#capacityEstimator.getLoad(service),
       getCapacity: this.#capacityEstimator.makeCapacityLookup(view, service),
       isSettling: this.#options.reader.isSettling(options.nowMs),
     };
-    if (options.balance) this.#logBalance(service, keeper, context);
-    return keeper.plan(context);
+  }
+
+  /** Determines which servers get only a share of the requests for them. */
+  #limitAdmission(nowMs: number): void {
+    const overloaded = [...this.#keepers].flatMap(([service, keeper]) =>
+      keeper.listOverloaded(
+        this.#makePlanContext(service, { nowMs, balance: false }),
+      )
+    );
+    this.#overloaded = overloaded.map((server) => ({
+      server: server.id,
+      share: computeAdmissionShare(server),
+    })).filter(({ share }) => share < 1);
+    this.#options.cluster.setAdmissionShares(this.#overloaded, nowMs);
   }
 
   #logBalance(
@@ -430,6 +456,7 @@
       cluster: this.#options.cluster,
       changes: new StateChanges(this.#options.cluster),
       nowMs,
+      overloaded: this.#overloaded,
       barred: this.#crashes.listPoisonRequests(nowMs),
     };
   }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -504,6 +504,6 @@
   [ExchangeEnd.NotSent]: () => ExchangeOutcome.Unreachable,
   [ExchangeEnd.Unsent]: () => ExchangeOutcome.None,
   [ExchangeEnd.Broken]: () => ExchangeOutcome.Failure,
-  [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Failure,
+  [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Missing,
   [ExchangeEnd.Cancelled]: () => ExchangeOutcome.None,
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,7 +95,11 @@
           onEnd: () => this.#member.endTerm(),
         }, claim),
     });
-    this.#placer = new Placer(cluster, stats, { zone: settings.zone });
+    const countRouters = () => this.#member.routerCount;
+    this.#placer = new Placer(cluster, stats, {
+      zone: settings.zone,
+      countRouters,
+    });
     this.#dispatcher = new Dispatcher({
       settings: options.settings,
       cluster,
@@ -106,7 +110,7 @@
       log,
       loop: this.#loop,
       metrics: this.#metrics,
-      countRouters: () => this.#member.routerCount,
+      countRouters,
     });
     this.#front = new Frontend({
       dispatcher: this.#dispatcher,
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -185,6 +185,7 @@
     }
     cluster.confirmRoutes(nowMs - beat.configurationAgeMs);
     cluster.setBarred(beat.barred ?? []);
+    cluster.setAdmissionShares(beat.overloaded ?? [], nowMs);
     this.#applyServers(beat, nowMs);
     this.#applyOwners(beat);
   }
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -2,6 +2,7 @@
 import type { OwnerTable, RouterRef } from "@jaytiller/ranges";
 import type { ServerView } from "@jaytiller/routing";
 import {
+  type AdmissionShare,
   type Heartbeat,
   type HeartbeatReply,
   PeerMethod,
@@ -19,6 +20,7 @@
   readonly cluster: ClusterState;
   readonly changes: StateChanges;
   readonly nowMs: number;
+  readonly overloaded: readonly AdmissionShare[];
   /** Fingerprints of requests that crash servers. */
   readonly barred: readonly string[];
 }
@@ -82,7 +84,7 @@
   #makeHeartbeat(
     context: HeartbeatContext,
   ): { beat: Heartbeat; sent: SentState } {
-    const { cluster, changes, nowMs, barred } = context;
+    const { cluster, changes, nowMs, overloaded, barred } = context;
     const { servers, owners, routes } = cluster;
     const acknowledged = this.#acknowledged;
     const hasChanges = !acknowledged || acknowledged.servers !== servers ||
@@ -98,6 +100,7 @@
       configurationAgeMs: Math.round(nowMs - cluster.routesConfirmedAt),
       serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
       serversPosition: servers.position,
+      ...(overloaded.length > 0 ? { overloaded } : {}),
       ...(barred.length > 0 ? { barred } : {}),
       ...(isConfigurationOld ? { configuration: routes.configuration } : {}),
       ...(hasChanges
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -27,6 +27,13 @@
   readonly ranges: readonly OwnedRange[];
 }
 
+/** A server that is asked for more than it can process. */
+export interface AdmissionShare {
+  readonly server: string;
+  /** Share of the requests for it that are sent, above 0 and below 1. */
+  readonly share: number;
+}
+
 /** State that the coordinator sends to each router several times a second. */
 export interface Heartbeat {
   /** Offset of the coordinator's claim; a higher term supersedes it. */
@@ -40,6 +47,8 @@
   readonly serversPosition: number;
   readonly servers?: Delta<ServerChange>;
   readonly owners?: Delta<ServiceOwnerRanges>;
+  /** Servers that get only a share of the requests; absent without any. */
+  readonly overloaded?: readonly AdmissionShare[];
   /** Fingerprints of requests that crash servers; absent if there are none. */
   readonly barred?: readonly string[];
 }
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -3,6 +3,7 @@
   type Admission,
   chooseServer,
   computeRetryAfter,
+  computeShare,
   decideAdmission,
   estimateLatency,
   type QueuedRequest,
@@ -60,6 +61,8 @@
 /** Largest share of a request's remaining time to wait for a moving key. */
 const MOVE_WAIT_SHARE = 0.35;
 const UNREACHABLE_RETRY_AFTER_MS = 400;
+/** `Retry-After` of a request that an overloaded server does not get, ms. */
+const OVERLOAD_RETRY_AFTER_MS = 500;
 const ADVANCE_INTERVAL_MS = 20;
 /** Assumed size of a response, bytes. */
 const ASSUMED_ANSWER_BYTES = 2_048;
@@ -75,22 +78,31 @@
     readonly reason: RefusalReason;
   };
 
+/** This router among the others. */
+export interface PlacerOptions {
+  readonly zone: string;
+  /** Returns the number of routers that share the servers. */
+  readonly countRouters: () => number;
+}
+
 /** Assigns requests to servers that may run them. */
 export class Placer {
   readonly #cluster: ClusterState;
   readonly #stats: TrafficStats;
   readonly #zone: string;
+  readonly #countRouters: () => number;
   readonly #queue = WaitQueue.create({ capacity: MAX_WAITING });
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
     cluster: ClusterState,
     stats: TrafficStats,
-    options: { zone: string },
+    options: PlacerOptions,
   ) {
     this.#cluster = cluster;
     this.#stats = stats;
     this.#zone = options.zone;
+    this.#countRouters = options.countRouters;
     cluster.onChange(() => this.advance());
   }
 
@@ -143,10 +155,14 @@
   }
 
   #reserve({ server }: ReservedServer): ReservedServer {
-    this.#stats.get(server.id).begin();
+    this.#stats.get(server.id).begin(this.#computeShare(server));
     return { server };
   }
 
+  #computeShare({ slots }: ServerEntry): number {
+    return computeShare({ slots, routers: this.#countRouters() });
+  }
+
   #wait(
     call: ClientCall,
     options: PlaceOptions & {
@@ -225,17 +241,21 @@
     if (stats.isUnreachable(nowMs)) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
     }
+    if (options.ahead === undefined && !this.#isAdmitted(server.id, nowMs)) {
+      return refuse(RefusalReason.Overloaded, OVERLOAD_RETRY_AFTER_MS);
+    }
     const resource = `server/${server.id}`;
     const assumedMs = stats.measuredServiceMs ??
       this.#stats.computeMeanServiceMs(
         this.#cluster.servers.listReady(service.name),
       );
     const candidate = { entry: server, stats };
+    const share = this.#computeShare(server);
     const admission = decideAdmission({
-      hasCapacity: stats.inFlight < stats.limit,
+      hasCapacity: stats.hasRoom(nowMs, share),
       ahead: options.ahead ??
         this.#queue.countAhead(resource, call.route.priority),
-      limit: stats.limit,
+      limit: stats.getLimit(nowMs, share),
       serviceMs: stats.getServiceMs(assumedMs),
       expectedMs: estimateLatency(candidate, { nowMs, assumedMs }),
       leftMs,
@@ -244,6 +264,12 @@
     return makeAttempt(admission, { server, resource, leftMs });
   }
 
+  /** Draws whether an overloaded server gets a request. */
+  #isAdmitted(server: string, nowMs: number): boolean {
+    const share = this.#cluster.getAdmissionShare(server, nowMs);
+    return share === 1 || Math.random() < share;
+  }
+
   #attemptAny(
     call: ClientCall,
     service: ServiceSpec,
@@ -258,6 +284,7 @@
     const { best, heard, limit } = chooseServer(candidates, {
       nowMs,
       zone: this.#zone,
+      routers: this.#countRouters(),
       bytes: options.body + ASSUMED_ANSWER_BYTES,
       tried: new Set(call.triedServers),
       assumedMs: serviceMs,
--- a/packages/gateway/test/member_link_test.ts
+++ b/packages/gateway/test/member_link_test.ts
@@ -92,6 +92,7 @@
     cluster,
     changes: new StateChanges(cluster),
     nowMs: performance.now(),
+    overloaded: [],
     barred: [],
   });
   await link.send(makeContext(195));
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -41,8 +41,12 @@
 
 /** Maximum share of its remaining time that a request spends waiting. */
 const MAX_WAIT_SHARE = 0.4;
+/** Share of the target that wait and response are expected to take at most. */
+const MAX_TARGET_SHARE = 0.8;
 /** Share of the expected time after which a response may already arrive. */
 const FAST_ANSWER_SHARE = 0.6;
+/** Factor by which admission may exceed a server's estimated capacity. */
+const ADMISSION_MARGIN = 1.2;
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 1_000;
 
@@ -54,14 +58,30 @@
     return { verdict: Verdict.Refuse, retryAfterMs };
   }
   if (facts.hasCapacity && facts.ahead === 0) return admit(Verdict.Send);
-  const waitMs = (facts.ahead + 1) * facts.serviceMs / facts.limit;
-  const maxWaitMs = Math.min(MAX_WAIT_SHARE * facts.leftMs, facts.targetMs);
-  const isInTime = waitMs <= maxWaitMs &&
-    waitMs + facts.serviceMs < facts.leftMs;
+  // By Little's law, `limit` requests end in the time that each of them takes.
+  const waitMs = (facts.ahead + 1) * facts.expectedMs / facts.limit;
+  const maxWaitMs = Math.min(
+    MAX_WAIT_SHARE * facts.leftMs,
+    MAX_TARGET_SHARE * facts.targetMs - facts.expectedMs,
+  );
+  const isInTime = waitMs <= maxWaitMs;
   if (isInTime) return admit(Verdict.Wait);
   return { verdict: Verdict.Refuse, retryAfterMs: computeRetryAfter(waitMs) };
 }
 
+/**
+ * Returns the share of the requests for an overloaded server that routers send
+ * to it. The others are refused at once: a server that is asked for many times
+ * its capacity would spend its connections and its queue on requests that it
+ * cannot complete. `load` and `capacity` are in requests per second.
+ */
+export function computeAdmissionShare(server: {
+  load: number;
+  capacity: number;
+}): number {
+  return Math.min(1, ADMISSION_MARGIN * server.capacity / server.load);
+}
+
 /** Returns the delay after which capacity may be free again, ms. */
 export function computeRetryAfter(waitMs: number): number {
   return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
--- /dev/null
+++ b/packages/placement/src/concurrency_limit.ts
@@ -0,0 +1,141 @@
+/**
+ * Limits one router's requests in flight at one server.
+ *
+ * Load pattern: many routers send more requests for one server than it can
+ * process, for example because one of its keys is hot. No router knows of the
+ * others' requests. Without a common limit they fill the server's queue, and
+ * each response arrives late or not at all although the server is never idle.
+ * Each router starts with its share of the requests that the server can hold,
+ * and follows the occupancy that the server reports.
+ * @module
+ */
+
+/** Occupancy that a server reports with a response. */
+export interface ServerLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** What the end of an exchange tells about the occupancy of the server. */
+export interface OccupancyEvidence {
+  readonly nowMs: number;
+  /** Time since the request was sent, ms. */
+  readonly latencyMs: number;
+  /** Time that a request takes without queueing, ms. */
+  readonly serviceMs: number;
+  /** See `computeShare`. */
+  readonly share: number;
+}
+
+/**
+ * Requests at a server for each of its slots: enough to keep all slots busy, but
+ * few enough that a request waits for less than the time of one other.
+ */
+const REQUESTS_PER_SLOT = 1.5;
+/**
+ * Requests at a server for each of its slots before anything is known of it. A
+ * server queues a few requests, and most routers have none for it at first.
+ */
+const INITIAL_REQUESTS_PER_SLOT = 4;
+/** Largest limit before anything is known about the server. */
+const MAX_INITIAL_LIMIT = 4;
+const MAX_LIMIT = 24;
+/** Increase after a response of a server that can hold more requests. */
+const INCREASE = 0.3;
+/** Least factor by which the limit is reduced at once. */
+const MIN_REDUCTION = 0.5;
+/** Longest pause between two requests while the limit is below one, ms. */
+const MAX_PAUSE_MS = 3_000;
+/** Age from which a limit below one no longer applies, ms. */
+const MAX_EVIDENCE_AGE_MS = 4_000;
+
+/** Returns the requests at a server that fall to one router; may be below 1. */
+export function computeShare(options: {
+  slots: number;
+  routers: number;
+}): number {
+  return REQUESTS_PER_SLOT * options.slots / Math.max(1, options.routers);
+}
+
+/** Additive increase, multiplicative decrease by the reported occupancy. */
+export class ConcurrencyLimit {
+  /** Absent until there is evidence. */
+  #limit: number | undefined;
+  #reducedAtMs = -Infinity;
+  #evidenceAtMs = -Infinity;
+  #resumeAtMs = -Infinity;
+
+  /** Returns the limit; below 1, requests are sent one by one with pauses. */
+  get(nowMs: number, share: number): number {
+    const limit = this.#limit ?? computeInitialLimit(share);
+    const isOld = nowMs - this.#evidenceAtMs > MAX_EVIDENCE_AGE_MS;
+    return isOld ? Math.max(1, limit) : limit;
+  }
+
+  /** Returns whether one more request may be sent. */
+  hasRoom(inFlight: number, options: { nowMs: number; share: number }) {
+    const limit = this.get(options.nowMs, options.share);
+    if (limit >= 1) return inFlight < Math.floor(limit);
+    return inFlight === 0 && options.nowMs >= this.#resumeAtMs;
+  }
+
+  /** Records a response; `inFlight` counts its request. */
+  recordResponse(
+    evidence: OccupancyEvidence,
+    { load, inFlight }: { load: ServerLoad | undefined; inFlight: number },
+  ): void {
+    const { nowMs, share } = evidence;
+    const limit = this.get(nowMs, share);
+    if (load && hasExcess(load)) {
+      this.#reduce(evidence, computeBearable(load) / computeOccupancy(load));
+    } else if (inFlight >= Math.floor(limit)) {
+      this.#limit = Math.min(MAX_LIMIT, limit + INCREASE);
+    }
+    this.#schedule(evidence);
+  }
+
+  /**
+   * Records that the server rejected a request, or sent no response when due.
+   * A server that reports room does so for another reason. `load` is its last
+   * report, if there is a recent one.
+   */
+  recordFull(evidence: OccupancyEvidence, load: ServerLoad | undefined): void {
+    if (!load || hasExcess(load)) this.#reduce(evidence, MIN_REDUCTION);
+    this.#schedule(evidence);
+  }
+
+  /** Requests that were sent before a reduction are no reason for another. */
+  #reduce({ nowMs, latencyMs, share }: OccupancyEvidence, factor: number) {
+    if (nowMs - latencyMs < this.#reducedAtMs) return;
+    const least = Math.min(1, share / 2);
+    const limit = this.get(nowMs, share) * Math.max(MIN_REDUCTION, factor);
+    this.#limit = Math.max(least, limit);
+    this.#reducedAtMs = nowMs;
+  }
+
+  #schedule({ nowMs, serviceMs, share }: OccupancyEvidence): void {
+    this.#evidenceAtMs = nowMs;
+    const limit = this.get(nowMs, share);
+    const pauseMs = limit < 1 ? serviceMs * REQUESTS_PER_SLOT / limit : 0;
+    this.#resumeAtMs = nowMs + Math.min(MAX_PAUSE_MS, pauseMs);
+  }
+}
+
+function computeInitialLimit(share: number): number {
+  const limit = INITIAL_REQUESTS_PER_SLOT / REQUESTS_PER_SLOT * share;
+  return Math.min(MAX_INITIAL_LIMIT, Math.max(1, limit));
+}
+
+function computeOccupancy({ running, waiting }: ServerLoad): number {
+  return running + waiting;
+}
+
+function computeBearable({ slots }: ServerLoad): number {
+  return REQUESTS_PER_SLOT * slots;
+}
+
+/** Returns whether a server has more requests than it should. */
+function hasExcess(load: ServerLoad): boolean {
+  return computeOccupancy(load) > computeBearable(load);
+}
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./admission.js";
+export * from "./concurrency_limit.js";
 export * from "./poison_requests.js";
 export * from "./retry_budget.js";
 export * from "./server_choice.js";
--- a/packages/placement/src/server_choice.ts
+++ b/packages/placement/src/server_choice.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { ServerEntry } from "@jaytiller/routing";
+import { computeShare } from "./concurrency_limit.js";
 import type { ServerStats } from "./server_stats.js";
 
 /** A server and this router's statistics of it. */
@@ -21,6 +22,8 @@
 export interface ChoiceContext {
   readonly nowMs: number;
   readonly zone: string;
+  /** Number of routers that send requests to the servers. */
+  readonly routers: number;
   /** Approximate size of the request and its response, bytes. */
   readonly bytes: number;
   /** Servers that the request was already sent to. */
@@ -67,7 +70,10 @@
   for (const candidate of candidates) {
     if (candidate.stats.isUnreachable(context.nowMs)) continue;
     heard += 1;
-    limit += candidate.stats.limit;
+    limit += candidate.stats.getLimit(
+      context.nowMs,
+      computeServerShare(candidate, context),
+    );
     if (!isAvailable(candidate, context)) continue;
     const cost = estimateCost(candidate, context);
     if (cost < leastCost) [best, leastCost] = [candidate, cost];
@@ -75,11 +81,17 @@
   return { ...(best ? { best } : {}), heard, limit };
 }
 
-function isAvailable(
-  { entry, stats }: Candidate,
-  context: ChoiceContext,
-): boolean {
-  return stats.inFlight < stats.limit && !context.tried.has(entry.id);
+function isAvailable(candidate: Candidate, context: ChoiceContext): boolean {
+  const { entry, stats } = candidate;
+  const share = computeServerShare(candidate, context);
+  return stats.hasRoom(context.nowMs, share) && !context.tried.has(entry.id);
+}
+
+function computeServerShare(
+  { entry }: Candidate,
+  { routers }: ChoiceContext,
+): number {
+  return computeShare({ slots: entry.slots, routers });
 }
 
 /** Estimates the time until the server's response, ms. */
--- a/packages/placement/src/server_stats.ts
+++ b/packages/placement/src/server_stats.ts
@@ -1,11 +1,9 @@
 /** One router's statistics of one backend server. @module */
-
-/** Occupancy that a server reports with a response. */
-export interface ServerLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
+import {
+  ConcurrencyLimit,
+  type OccupancyEvidence,
+  type ServerLoad,
+} from "./concurrency_limit.js";
 
 /** What the end of an exchange indicates about the server. */
 export enum ExchangeOutcome {
@@ -13,6 +11,11 @@
   Answer = "answer",
   /** The server rejected the request because it is at capacity. */
   Full = "full",
+  /**
+   * The server sent no response by the end of the request's time. A full server
+   * may never respond.
+   */
+  Missing = "missing",
   /** The server failed: it returned an error, or its response broke off. */
   Failure = "failure",
   /** No connection, or no response in time. */
@@ -32,9 +35,10 @@
 const MAX_BACKOFF_MS = 4_000;
 /** Time constant of the exponential decay of a load report, ms. */
 const LOAD_DECAY_MS = 400;
-/** Initial limit on requests in flight at one server. */
-const INITIAL_LIMIT = 4;
-const MAX_LIMIT = 24;
+/** Age up to which a load report tells why a response is missing, ms. */
+const MAX_LOAD_AGE_MS = 2_000;
+/** Service time assumed for the limit until enough samples are known, ms. */
+const ASSUMED_SERVICE_MS = 150;
 
 /** Mutable statistics of one server. */
 export class ServerStats {
@@ -50,7 +54,9 @@
   #failuresAtMs = 0;
   #unreachableCount = 0;
   #backoffEndMs = -Infinity;
-  #limit = INITIAL_LIMIT;
+  readonly #limit = new ConcurrencyLimit();
+  /** Share of the server's capacity at the last `begin`. */
+  #share = 1;
 
   /** Returns the service time of a request, without queueing, ms. */
   getServiceMs(assumedMs: number): number {
@@ -73,29 +79,39 @@
     return taken;
   }
 
-  /** Maximum number of this router's requests in flight at the server. */
-  get limit(): number {
-    return Math.max(1, Math.floor(this.#limit));
+  /**
+   * Returns the maximum number of this router's requests in flight at the
+   * server. `share` is the part of its capacity that falls to this router.
+   */
+  getLimit(nowMs: number, share: number): number {
+    return this.#limit.get(nowMs, share);
+  }
+
+  /** Returns whether one more request may be sent to the server. */
+  hasRoom(nowMs: number, share: number): boolean {
+    return this.#limit.hasRoom(this.inFlight, { nowMs, share });
   }
 
   /** Records that a request is sent. */
-  begin(): void {
+  begin(share: number): void {
+    this.#share = share;
     this.inFlight += 1;
     this.#sentSinceLoad += 1;
   }
 
   /** Records the end of an exchange that `begin` started. */
   end(sign: ExchangeOutcome, facts: ExchangeFacts): void {
-    this.inFlight -= 1;
     if (facts.load) this.#recordLoad(facts.load, facts.nowMs);
     const handlers: Record<ExchangeOutcome, () => void> = {
       [ExchangeOutcome.Answer]: () => this.#recordAnswer(facts),
-      [ExchangeOutcome.Full]: () => this.#recordOverload(),
+      [ExchangeOutcome.Full]: () => this.#recordFull(facts),
+      [ExchangeOutcome.Missing]: () => this.#recordMissing(facts),
       [ExchangeOutcome.Failure]: () => this.#recordFailure(facts.nowMs),
       [ExchangeOutcome.Unreachable]: () => this.#recordUnreachable(facts.nowMs),
       [ExchangeOutcome.None]: () => {},
     };
     handlers[sign]();
+    this.inFlight -= 1;
   }
 
   /** Returns whether the server is avoided after missing responses. */
@@ -128,16 +144,14 @@
     this.#sentSinceLoad = 0;
   }
 
-  #recordAnswer({ latencyMs, load, nowMs }: ExchangeFacts): void {
+  #recordAnswer(facts: ExchangeFacts): void {
+    const { latencyMs, load, nowMs } = facts;
     this.#unreachableCount = 0;
     this.#backoffEndMs = -Infinity;
     const queued = load ? load.waiting > 0 : false;
     if (!queued && latencyMs !== undefined) this.#recordServiceTime(latencyMs);
-    if (load && load.waiting > load.slots) {
-      this.#limit = Math.max(1, this.#limit * 0.95);
-    } else {
-      this.#limit = Math.min(MAX_LIMIT, this.#limit + 0.3);
-    }
+    const { inFlight } = this;
+    this.#limit.recordResponse(this.#makeEvidence(facts), { load, inFlight });
     this.#failures = this.getFailures(nowMs) * 0.8;
     this.#failuresAtMs = nowMs;
   }
@@ -151,9 +165,29 @@
     this.#serviceMs += weight * (ms - this.#serviceMs);
   }
 
-  #recordOverload(): void {
+  #recordFull(facts: ExchangeFacts): void {
     this.#unreachableCount = 0;
-    this.#limit = Math.max(1, this.#limit * 0.7);
+    const { load } = facts;
+    this.#limit.recordFull(this.#makeEvidence(facts), load);
+    // A server that rejects requests although it has free slots is failing.
+    if (load && load.running < load.slots) this.#recordFailure(facts.nowMs);
+  }
+
+  #recordMissing(facts: ExchangeFacts): void {
+    const { nowMs } = facts;
+    this.#recordFailure(nowMs);
+    const isRecent = nowMs - this.#loadAtMs < MAX_LOAD_AGE_MS;
+    const load = isRecent ? this.#load : undefined;
+    this.#limit.recordFull(this.#makeEvidence(facts), load);
+  }
+
+  #makeEvidence({ nowMs, latencyMs }: ExchangeFacts): OccupancyEvidence {
+    return {
+      nowMs,
+      latencyMs: latencyMs ?? 0,
+      serviceMs: this.getServiceMs(ASSUMED_SERVICE_MS),
+      share: this.#share,
+    };
   }
 
   #recordFailure(nowMs: number): void {
--- a/packages/placement/test/server_choice_test.ts
+++ b/packages/placement/test/server_choice_test.ts
@@ -92,7 +92,7 @@
   };
   const stats = new ServerStats();
   const end = (sign: ExchangeOutcome, latencyMs?: number) => {
-    stats.begin();
+    stats.begin(1);
     const facts = latencyMs === undefined ? {} : { latencyMs };
     stats.end(sign, { nowMs: NOW_MS, ...facts });
   };
@@ -101,7 +101,7 @@
   }
   for (let i = 0; i < (seen.failures ?? 0); i++) end(ExchangeOutcome.Failure);
   if (seen.isSilent) end(ExchangeOutcome.Unreachable);
-  for (let i = 0; i < (seen.inFlight ?? 0); i++) stats.begin();
+  for (let i = 0; i < (seen.inFlight ?? 0); i++) stats.begin(1);
   return { entry, stats };
 }
 
@@ -112,6 +112,7 @@
     const choice = chooseServer(candidates, {
       nowMs: NOW_MS,
       zone: "z1",
+      routers: 1,
       bytes: bytes ?? 1_000,
       tried: new Set(tried),
       assumedMs: 100,
