ranges: No longer prefer fast servers at low load

Moving keys to fast servers at low load moves them again and again, as estimates of capacity change.

Moves of hot keys stay.

Conclusion: a preference for fast servers needs a forecast of its gain against the moves.

--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -30,7 +30,7 @@
 }
 
 /** Keys do not move away from a server below this utilization. */
-const MIN_SOURCE_UTILIZATION = 0.45;
+const MIN_SOURCE_UTILIZATION = 0.55;
 /**
  * Keys move away from a server above the mean utilization times this factor.
  */
@@ -39,8 +39,6 @@
  * Time between moves of a range, so that load reports reflect the last one, ms.
  */
 const MIN_MOVE_INTERVAL_MS = 1_200;
-/** Mean utilization from which fast servers are no longer preferred. */
-const MAX_PREFERENCE_UTILIZATION = 0.6;
 /** Minimum share of the source server's load that a move must carry. */
 const MIN_MOVED_LOAD_SHARE = 0.08;
 
@@ -87,7 +85,7 @@
 ): readonly OwnerChange[] {
   const usages = listServerUsage(
     assignments,
-    preferFastServers(candidates, options.load.total),
+    candidates,
     options.load,
   );
   const changes = [...planHotKeyMoves(usages, options)];
@@ -108,28 +106,6 @@
   return changes;
 }
 
-/**
- * Weights capacities in favor of fast servers while the load is low: a request
- * takes less time there, and waiting is rare anyway. `load` is in requests per
- * second.
- */
-function preferFastServers(
-  candidates: readonly OwnerCandidate[],
-  load: number,
-): readonly OwnerCandidate[] {
-  const total = candidates.reduce((sum, c) => sum + c.capacity, 0);
-  const mean = total / candidates.length;
-  const preference = Math.max(0, 1 - load / total / MAX_PREFERENCE_UTILIZATION);
-  const weights = candidates.map(({ capacity }) =>
-    capacity * (capacity / mean) ** preference
-  );
-  const scale = total / weights.reduce((sum, weight) => sum + weight, 0);
-  return candidates.map((candidate, i) => ({
-    ...candidate,
-    capacity: weights[i]! * scale,
-  }));
-}
-
 /** Plans the moves of keys that are too hot for their servers. */
 function planHotKeyMoves(
   usages: readonly ServerUsage[],
