gateway: Merge the routers' reports in a module of its own

Change: LoadReports merges what routers report and derives admission shares and the facts of a plan. Servers that become overloaded get a line in the log, and refusals because of a share a reason of their own, ownerOverloaded.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -16,15 +16,11 @@
   Predecessors,
   type RouterRef,
 } from "@jaytiller/ranges";
-import {
-  computeAdmissionShare,
-  PoisonRequestTracker,
-} from "@jaytiller/placement";
-import type { AdmissionShare, HeartbeatReply } from "./peer_messages.js";
-import { CapacityEstimator } from "./capacity_estimator.js";
+import type { HeartbeatReply } from "./peer_messages.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { ClusterState } from "./cluster_state.js";
 import { HeartbeatSender, type SentHeartbeat } from "./heartbeat_sender.js";
+import { LoadReports } from "./load_reports.js";
 import type { HeartbeatContext } from "./member_link.js";
 import { OwnershipLog } from "./ownership_log.js";
 import { sleep } from "./sleep.js";
@@ -67,7 +63,6 @@
 const BALANCE_INTERVAL_MS = 300;
 /** Interval between two log lines about the balance, ms. */
 const BALANCE_LOG_INTERVAL_MS = 2_000;
-const MAX_REPORTED_KEYS = 400;
 /** Time without a reply after which a router is no longer listed, ms. */
 const MAX_ROUTER_SILENCE_MS = 20_000;
 /** Interval between confirmations by the store without a majority, ms. */
@@ -82,12 +77,10 @@
   readonly #keepers = new Map<string, AssignmentManager>();
   readonly #sender: HeartbeatSender;
   readonly #records: OwnershipLog;
-  readonly #capacityEstimator = new CapacityEstimator();
-  readonly #crashes = new PoisonRequestTracker();
+  readonly #reports: LoadReports;
   readonly #pauseDetector = new PauseDetector();
   readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
-  #overloaded: readonly AdmissionShare[] = [];
   #isWriting = false;
   #nextBalanceMs = 0;
   #nextBalanceLogMs = 0;
@@ -98,7 +91,8 @@
     const nowMs = performance.now();
     this.#options = options;
     this.#term = claim.term;
-    const { self, store, log } = options;
+    const { self, store, log, cluster, stats } = options;
+    this.#reports = new LoadReports({ cluster, stats });
     this.#sender = new HeartbeatSender({
       log,
       makeContext: () => this.#makeHeartbeatContext(),
@@ -251,10 +245,7 @@
     if (balance) {
       this.#nextBalanceMs = nowMs + BALANCE_INTERVAL_MS;
       this.#removeSilentRouters();
-      this.#addLocalReport();
-      this.#capacityEstimator.advance(nowMs);
-      const { servers } = this.#options.cluster;
-      this.#capacityEstimator.retain((id) => servers.find(id) !== undefined);
+      this.#reports.advance(nowMs);
       this.#limitAdmission(nowMs);
     }
     const changes = new Map<string, readonly OwnerChange[]>();
@@ -285,37 +276,24 @@
     keeper: AssignmentManager,
     options: { nowMs: number; balance: boolean },
   ): readonly OwnerChange[] {
-    const context = this.#makePlanContext(service, options);
-    if (options.balance) this.#logBalance(service, keeper, context);
-    return keeper.plan(context);
-  }
-
-  #makePlanContext(
-    service: string,
-    options: { nowMs: number; balance: boolean },
-  ): PlanContext {
-    const view = this.#options.cluster.servers;
-    return {
+    const context = this.#reports.makePlanContext(service, {
       ...options,
-      view,
-      load: this.#capacityEstimator.getLoad(service),
-      getCapacity: this.#capacityEstimator.makeCapacityLookup(view, service),
       isSettling: this.#options.reader.isSettling(options.nowMs),
-    };
+    });
+    if (options.balance) this.#logBalance(service, keeper, context);
+    return keeper.plan(context);
   }
 
   /** Determines which servers get only a share of the requests for them. */
   #limitAdmission(nowMs: number): void {
-    const overloaded = [...this.#keepers].flatMap(([service, keeper]) =>
-      keeper.listOverloaded(
-        this.#makePlanContext(service, { nowMs, balance: false }),
-      )
-    );
-    this.#overloaded = overloaded.map((server) => ({
-      server: server.id,
-      share: computeAdmissionShare(server),
-    })).filter(({ share }) => share < 1);
-    this.#options.cluster.setAdmissionShares(this.#overloaded, nowMs);
+    const added = this.#reports.updateAdmissionShares(this.#keepers, nowMs);
+    for (const { id, load, capacity } of added) {
+      this.#options.log.record("overloaded", {
+        server: id,
+        load: round(load),
+        capacity: round(capacity),
+      });
+    }
   }
 
   #logBalance(
@@ -456,8 +434,8 @@
       cluster: this.#options.cluster,
       changes: new StateChanges(this.#options.cluster),
       nowMs,
-      overloaded: this.#overloaded,
-      barred: this.#crashes.listPoisonRequests(nowMs),
+      overloaded: this.#reports.admissionShares,
+      barred: this.#reports.listPoisonRequests(nowMs),
     };
   }
 
@@ -469,8 +447,7 @@
     const { recipient } = sent;
     if (answer.term === this.#term) this.#recordAcceptance(router, sent.atMs);
     if (router.incarnation !== recipient.incarnation) this.join(router);
-    this.#capacityEstimator.addReport(answer.keys, answer.times);
-    this.#crashes.add(answer.crashes, performance.now());
+    this.#reports.add(answer);
   }
 
   /** Records that a router has accepted the term after `atMs`. */
@@ -488,17 +465,6 @@
     });
   }
 
-  #addLocalReport(): void {
-    const { stats } = this.#options;
-    this.#capacityEstimator.addReport(
-      stats.takeKeyCounts(MAX_REPORTED_KEYS),
-      stats.takeServiceTimes(),
-    );
-    const nowMs = performance.now();
-    this.#crashes.add(stats.crashes.takeReport(nowMs), nowMs);
-    this.#options.cluster.setBarred(this.#crashes.listPoisonRequests(nowMs));
-  }
-
   async #pollServers(): Promise<void> {
     while (!this.#hasEnded) {
       const before = this.#options.cluster.servers;
--- /dev/null
+++ b/packages/gateway/src/load_reports.ts
@@ -0,0 +1,94 @@
+/** What all routers report of keys, servers and crashes. @module */
+import {
+  type AssignmentManager,
+  type OverloadedServer,
+  type PlanContext,
+} from "@jaytiller/ranges";
+import {
+  computeAdmissionShare,
+  PoisonRequestTracker,
+} from "@jaytiller/placement";
+import { CapacityEstimator } from "./capacity_estimator.js";
+import type { ClusterState } from "./cluster_state.js";
+import type { AdmissionShare, HeartbeatReply } from "./peer_messages.js";
+import type { TrafficStats } from "./traffic_stats.js";
+
+const MAX_REPORTED_KEYS = 400;
+
+/** Merges the reports of all routers; owned by the coordinator. */
+export class LoadReports {
+  readonly #cluster: ClusterState;
+  readonly #stats: TrafficStats;
+  readonly #estimator = new CapacityEstimator();
+  readonly #crashes = new PoisonRequestTracker();
+  #admissionShares: readonly AdmissionShare[] = [];
+
+  constructor(options: { cluster: ClusterState; stats: TrafficStats }) {
+    this.#cluster = options.cluster;
+    this.#stats = options.stats;
+  }
+
+  /** Servers that get only a share of the requests for their keys. */
+  get admissionShares(): readonly AdmissionShare[] {
+    return this.#admissionShares;
+  }
+
+  /** Adds what another router reports. */
+  add(reply: HeartbeatReply): void {
+    this.#estimator.addReport(reply.keys, reply.times);
+    this.#crashes.add(reply.crashes, performance.now());
+  }
+
+  /** Adds this router's own report, and advances the estimates to `nowMs`. */
+  advance(nowMs: number): void {
+    this.#estimator.addReport(
+      this.#stats.takeKeyCounts(MAX_REPORTED_KEYS),
+      this.#stats.takeServiceTimes(),
+    );
+    this.#crashes.add(this.#stats.crashes.takeReport(nowMs), nowMs);
+    this.#cluster.setBarred(this.listPoisonRequests(nowMs));
+    this.#estimator.advance(nowMs);
+    const { servers } = this.#cluster;
+    this.#estimator.retain((id) => servers.find(id) !== undefined);
+  }
+
+  /** Lists the fingerprints of requests that crash servers. */
+  listPoisonRequests(nowMs: number): readonly string[] {
+    return this.#crashes.listPoisonRequests(nowMs);
+  }
+
+  /** Makes the facts on which the ownership of a service is planned. */
+  makePlanContext(
+    service: string,
+    options: { nowMs: number; balance: boolean; isSettling: boolean },
+  ): PlanContext {
+    const view = this.#cluster.servers;
+    return {
+      ...options,
+      view,
+      load: this.#estimator.getLoad(service),
+      getCapacity: this.#estimator.makeCapacityLookup(view, service),
+    };
+  }
+
+  /**
+   * Determines again which servers get only a share of the requests. Returns
+   * those that were not among them before.
+   */
+  updateAdmissionShares(
+    keepers: ReadonlyMap<string, AssignmentManager>,
+    nowMs: number,
+  ): readonly OverloadedServer[] {
+    const known = new Set(this.#admissionShares.map((s) => s.server));
+    const options = { nowMs, balance: false, isSettling: false };
+    const overloaded = [...keepers].flatMap(([service, keeper]) =>
+      keeper.listOverloaded(this.makePlanContext(service, options))
+    ).filter((server) => computeAdmissionShare(server) < 1);
+    this.#admissionShares = overloaded.map((server) => ({
+      server: server.id,
+      share: computeAdmissionShare(server),
+    }));
+    this.#cluster.setAdmissionShares(this.#admissionShares, nowMs);
+    return overloaded.filter(({ id }) => !known.has(id));
+  }
+}
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -23,6 +23,8 @@
 export enum RefusalReason {
   NoServer = "noServer",
   Overloaded = "overloaded",
+  /** The owner gets only a share of the requests for its keys. */
+  OwnerOverloaded = "ownerOverloaded",
   /** No ready server owns the key, for example while the key moves. */
   KeyMoving = "keyMoving",
   /** The owner, or every server of the service, does not accept connections. */
@@ -242,7 +244,7 @@
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
     }
     if (options.ahead === undefined && !this.#isAdmitted(server.id, nowMs)) {
-      return refuse(RefusalReason.Overloaded, OVERLOAD_RETRY_AFTER_MS);
+      return refuse(RefusalReason.OwnerOverloaded, OVERLOAD_RETRY_AFTER_MS);
     }
     const resource = `server/${server.id}`;
     const assumedMs = stats.measuredServiceMs ??
--- /dev/null
+++ b/packages/gateway/test/load_reports_test.ts
@@ -0,0 +1,131 @@
+/** Tests which servers get only a share of the requests for their keys. */
+import { type Assignment, AssignmentManager } from "@jaytiller/ranges";
+import { type ServerEntry, ServerState } from "@jaytiller/routing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ClusterState } from "../src/cluster_state.js";
+import { LoadReports } from "../src/load_reports.js";
+import type { HeartbeatReply } from "../src/peer_messages.js";
+import { TrafficStats } from "../src/traffic_stats.js";
+
+const SERVICE = "spec";
+const HOT_KEY = 100;
+const HOT_SERVER = "i-0";
+const OTHER_KEY = 60_000;
+const MAX_AGE_MS = 2_000;
+
+function makeEntry(id: string): ServerEntry {
+  return {
+    id,
+    born: 1,
+    service: SERVICE,
+    address: `${id}:1`,
+    zone: "z1",
+    slots: 2,
+    state: ServerState.Ready,
+    sequence: 1,
+  };
+}
+
+function makeAssignment(from: number, to: number, id: string): Assignment {
+  return {
+    from,
+    to,
+    owner: { id, born: 1 },
+    fence: 1,
+    former: [],
+    granted: true,
+    leaseExpiryMs: 0,
+    changedAtMs: 0,
+  };
+}
+
+/** Two servers, of which the first owns the lower half of the keys. */
+function makeFixture() {
+  const cluster = new ClusterState();
+  const servers = [makeEntry(HOT_SERVER), makeEntry("i-1")];
+  cluster.applyServers(
+    servers.map((entry) => ({ id: entry.id, entry })),
+    { position: 1, atMs: 0 },
+  );
+  const keeper = AssignmentManager.restore(SERVICE, [
+    makeAssignment(0, 32_767, HOT_SERVER),
+    makeAssignment(32_768, 65_535, "i-1"),
+  ], {
+    times: { holdMs: 3_000, renewMs: 900, clockSkew: 0.02 },
+    inheritedLeaseExpiryMs: 0,
+  });
+  const reports = new LoadReports({ cluster, stats: new TrafficStats() });
+  return { cluster, reports, keepers: new Map([[SERVICE, keeper]]) };
+}
+
+function makeReply(keys: HeartbeatReply["keys"]): HeartbeatReply {
+  return {
+    term: 1,
+    router: {
+      node: "r",
+      incarnation: "1",
+      address: "r:1",
+      zone: "z1",
+      cores: 1,
+    },
+    version: 1,
+    serversNumber: 1,
+    ownersNumber: 1,
+    keys,
+    times: [[HOT_SERVER, 20, 4_000], ["i-1", 20, 4_000]],
+    crashes: { crashes: [], answered: [] },
+  };
+}
+
+interface Case {
+  readonly title: string;
+  /** Requests per second by key, as two routers report them together. */
+  readonly rates: Readonly<Record<number, number>>;
+  /** Least and largest share of the first server's requests. */
+  readonly share: readonly [number, number];
+}
+
+// Each server can process 10 requests per second.
+const CASES: readonly Case[] = [
+  {
+    title: "all requests for a server with room are sent",
+    rates: {},
+    share: [1, 1],
+  },
+  {
+    title: "all requests for a busy server are sent",
+    rates: { [HOT_KEY]: 9, [OTHER_KEY]: 9 },
+    share: [1, 1],
+  },
+  {
+    title: "a server with a hot key gets about what it can process",
+    rates: { [HOT_KEY]: 100, [OTHER_KEY]: 9 },
+    share: [0.1, 0.14],
+  },
+];
+
+for (const { title, rates, share: [least, most] } of CASES) {
+  test(`admission share: ${title}`, () => {
+    const { cluster, reports, keepers } = makeFixture();
+    reports.advance(0);
+    let nowMs = 0;
+    for (; nowMs < 10_000; nowMs += 500) {
+      for (const _ of ["router 1", "router 2"]) {
+        reports.add(makeReply(
+          Object.entries(rates)
+            .map(([key, rate]) => [SERVICE, Number(key), rate / 4]),
+        ));
+      }
+      reports.advance(nowMs);
+    }
+    const added = reports.updateAdmissionShares(keepers, nowMs);
+    const share = cluster.getAdmissionShare(HOT_SERVER, nowMs);
+    assert.ok(least <= share && share <= most, `share ${share}`);
+    assert.deepEqual(added.map((s) => s.id), share < 1 ? [HOT_SERVER] : []);
+    assert.deepEqual(reports.updateAdmissionShares(keepers, nowMs), []);
+    assert.equal(cluster.getAdmissionShare("i-1", nowMs), 1);
+    const laterMs = nowMs + MAX_AGE_MS + 1;
+    assert.equal(cluster.getAdmissionShare(HOT_SERVER, laterMs), 1);
+  });
+}
