ranges: Move a hot key at most once in five seconds

Cause: estimates of capacities differ by chance, so the fastest of 68 servers is another one every time; each move of a hot key makes the keys of its new owner move as well.

Change: another server must be 1.5 times faster, and the key must have had its owner for 5 s. Both kinds of move share one test of what may move.

--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -16,6 +16,7 @@
 import type { KeyLoad } from "./key_load.js";
 import {
   computeUtilization,
+  isMovable,
   listServerUsage,
   type OwnerCandidate,
   type ServerUsage,
@@ -113,10 +114,7 @@
 ): readonly OwnerChange[] {
   if (!options.maySplit) return [];
   return usages.flatMap((source) =>
-    planHotKeyMove(source, usages, {
-      load: options.load,
-      isMovable: (range) => isMovable(range, options.nowMs),
-    }) ?? []
+    planHotKeyMove(source, usages, options) ?? []
   ).slice(0, 1);
 }
 
@@ -174,10 +172,14 @@
   const maxLoad =
     (source.load * targetCapacity - target.load * sourceCapacity) /
     (sourceCapacity + targetCapacity);
+  const intervals = {
+    nowMs: options.nowMs,
+    minIntervalMs: MIN_MOVE_INTERVAL_MS,
+  };
   let best: OwnerChange | undefined;
   let bestLoad = Math.max(MIN_MOVED_LOAD_SHARE * source.load, 1e-3);
   for (const range of source.ranges) {
-    if (!isMovable(range, options.nowMs)) continue;
+    if (!isMovable(range, intervals)) continue;
     for (const [from, to] of listSubranges(range, maxLoad, options)) {
       const load = options.load.sum(from, to);
       if (load <= bestLoad) continue;
@@ -192,11 +194,6 @@
   return { id, born };
 }
 
-function isMovable(range: Assignment, nowMs: number): boolean {
-  return range.granted && range.former.length === 0 &&
-    nowMs - range.changedAtMs >= MIN_MOVE_INTERVAL_MS;
-}
-
 /** Lists subranges at either end of a range with at most `maxLoad`. */
 function listSubranges(
   { from, to }: Assignment,
--- a/packages/ranges/src/hot_keys.ts
+++ b/packages/ranges/src/hot_keys.ts
@@ -7,19 +7,34 @@
  */
 import type { Assignment, OwnerChange } from "./assignment.js";
 import type { KeyLoad } from "./key_load.js";
-import { computeUtilization, type ServerUsage } from "./server_usage.js";
+import {
+  computeUtilization,
+  isMovable,
+  type ServerUsage,
+} from "./server_usage.js";
 
 /**
- * Factor by which another server must be faster. Estimates of capacities differ
- * by less, and a move interrupts the service of the key.
+ * Factor by which another server must be faster: estimates of equal servers
+ * differ by less.
  */
-const MIN_SPEEDUP = 1.3;
+const MIN_SPEEDUP = 1.5;
+/**
+ * Time between moves of a key, ms. Each move interrupts its service, and keys of
+ * its new owner move away after it.
+ */
+const MIN_MOVE_INTERVAL_MS = 5_000;
+
+/** Facts on which the move of a hot key is planned. */
+export interface HotKeyOptions {
+  readonly nowMs: number;
+  readonly load: KeyLoad;
+}
 
 /** Plans the move of the hottest key of an overloaded server. */
 export function planHotKeyMove(
   source: ServerUsage,
   usages: readonly ServerUsage[],
-  options: { load: KeyLoad; isMovable: (range: Assignment) => boolean },
+  options: HotKeyOptions,
 ): OwnerChange | undefined {
   if (computeUtilization(source) <= 1) return undefined;
   const target = chooseFastestServer(usages);
@@ -27,7 +42,11 @@
   if (!target || target.candidate.capacity < MIN_SPEEDUP * capacity) {
     return undefined;
   }
-  for (const range of source.ranges.filter(options.isMovable)) {
+  const { nowMs } = options;
+  const ranges = source.ranges.filter((range) =>
+    isMovable(range, { nowMs, minIntervalMs: MIN_MOVE_INTERVAL_MS })
+  );
+  for (const range of ranges) {
     const key = findHotKey(range, { capacity, load: options.load });
     if (key === undefined) continue;
     const { id, born } = target.candidate;
