gateway, kernel: Keep connections longer, and collect routine log lines

Each log line was a write of its own.

Change: connections for repeatable requests are kept for 9 s; those for requests that may run only once for 4 s as before, in a pool of their own. At most three of each are idle. Routine lines are collected for 100 ms; others are written at once, with the lines before them.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -242,8 +242,9 @@
    */
   #chooseAgent(call: ClientCall, server: ServerEntry): Agent {
     const { agents } = this.#options;
-    const isSentAgain = call.triedServers.includes(server.id);
-    return isSentAgain ? agents.singleUse : agents.get(server.id);
+    if (call.triedServers.includes(server.id)) return agents.singleUse;
+    const isRepeatable = call.route.kind === RequestKind.Idempotent;
+    return agents.get(server.id, { isRepeatable });
   }
 
   /**
--- a/packages/gateway/src/server_agents.ts
+++ b/packages/gateway/src/server_agents.ts
@@ -12,10 +12,15 @@
   options: AgentOptions,
 ) => Agent & KeepAliveMethods;
 
-/** Time after which an idle connection is closed, ms. */
+/**
+ * Time after which an idle connection is closed, ms. A server may drop one
+ * unnoticed; the request that is then written to it may not be sent again unless
+ * it is repeatable.
+ */
 const IDLE_TIMEOUT_MS = 4_000;
-/** Largest number of idle connections to one server. */
-const MAX_IDLE_CONNECTIONS = 6;
+const REPEATABLE_IDLE_TIMEOUT_MS = 9_000;
+/** Largest number of idle connections to one server, for each kind of request. */
+const MAX_IDLE_CONNECTIONS = 3;
 
 /**
  * Keeps connections to one server alive. Data that arrives on an idle
@@ -39,9 +44,17 @@
   }
 }
 
+/** The agents of one server. */
+interface AgentPair {
+  /** For requests that may be sent again. */
+  readonly repeatable: Agent;
+  /** For requests that may run only once; its connections are younger. */
+  readonly single: Agent;
+}
+
 /** Agents by server id, as an address may later belong to another server. */
 export class ServerAgents {
-  readonly #agents = new Map<string, Agent>();
+  readonly #agents = new Map<string, AgentPair>();
   readonly #singleUse = new Agent({ keepAlive: false });
 
   /** Agent that makes a new connection for each request. */
@@ -49,17 +62,17 @@
     return this.#singleUse;
   }
 
-  get(id: string): Agent {
-    const known = this.#agents.get(id);
-    if (known) return known;
-    const agent = new ServerAgent({
-      keepAlive: true,
-      scheduling: "lifo",
-      maxFreeSockets: MAX_IDLE_CONNECTIONS,
-      timeout: IDLE_TIMEOUT_MS,
-    });
-    this.#agents.set(id, agent);
-    return agent;
+  /** Returns the agent that keeps connections to a server alive. */
+  get(id: string, { isRepeatable }: { isRepeatable: boolean }): Agent {
+    let pair = this.#agents.get(id);
+    if (!pair) {
+      pair = {
+        repeatable: createAgent(REPEATABLE_IDLE_TIMEOUT_MS),
+        single: createAgent(IDLE_TIMEOUT_MS),
+      };
+      this.#agents.set(id, pair);
+    }
+    return isRepeatable ? pair.repeatable : pair.single;
   }
 
   /** Removes agents of unknown servers; their idle connections time out. */
@@ -69,3 +82,12 @@
     }
   }
 }
+
+function createAgent(idleTimeoutMs: number): Agent {
+  return new ServerAgent({
+    keepAlive: true,
+    scheduling: "lifo",
+    maxFreeSockets: MAX_IDLE_CONNECTIONS,
+    timeout: idleTimeoutMs,
+  });
+}
--- a/packages/kernel/src/event_log.ts
+++ b/packages/kernel/src/event_log.ts
@@ -17,6 +17,8 @@
 const LINE_FEED = 0x0a;
 /** Delay before a write to a full pipe is repeated, ms. */
 const RETRY_DELAY_MS = 20;
+/** Time for which routine lines are collected, ms; each write is costly. */
+const ROUTINE_FLUSH_DELAY_MS = 100;
 
 /** Destination and volume limits of an event log. */
 export interface EventLogOptions {
@@ -39,6 +41,7 @@
   #pending: string[] = [];
   #pendingBytes = 0;
   #isWriting = false;
+  #flushTimer: NodeJS.Timeout | undefined;
   #dropped = 0;
   #second = 0;
   #routine = 0;
@@ -81,7 +84,8 @@
     this.#dropped = 0;
     this.#pending.push(line);
     this.#pendingBytes += line.length;
-    if (!this.#isWriting) this.#flush();
+    if (weight === EventPriority.Routine) this.#scheduleFlush();
+    else this.#flush();
   }
 
   /** Counts a routine line and returns whether it is within the limit. */
@@ -92,8 +96,17 @@
     return this.#routine <= this.#options.maxRoutineLinesPerSecond;
   }
 
+  #scheduleFlush(): void {
+    this.#flushTimer ??= setTimeout(
+      () => this.#flush(),
+      ROUTINE_FLUSH_DELAY_MS,
+    );
+  }
+
   #flush(): void {
-    if (this.#pending.length === 0) return;
+    clearTimeout(this.#flushTimer);
+    this.#flushTimer = undefined;
+    if (this.#pending.length === 0 || this.#isWriting) return;
     const bytes = Buffer.from(this.#pending.join(""));
     this.#pending = [];
     this.#pendingBytes = 0;
