gateway: Check messages of other routers before they have effects

Here, a join without an address ended the coordinator's process with an unhandled rejection, and would have ended each successor, as routers are stored in the ownership record; so did a reply to a heartbeat without its fields. A heartbeat with a high term and nothing else made its receiver ignore the coordinator.

Change: peer_decoding.ts checks heartbeats, joins and replies completely before anything follows from them; unknown fields are ignored. A malformed reply counts as no reply. A message without an end closes its connection at 16 MB. The checks of JSON values move from platform/ to the kernel, which both use.

--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -16,6 +16,12 @@
   PeerMethod,
   type SilenceReply,
 } from "./peer_messages.js";
+import {
+  decodeHeartbeat,
+  decodeJoinReply,
+  decodeRouterRef,
+  decodeSilenceReply,
+} from "./peer_decoding.js";
 import {
   choosePeersToAsk,
   CoordinatorStatus,
@@ -122,8 +128,9 @@
   /** Returns the RPC methods that other routers call. */
   makeRpcMethods(): Record<string, (params: unknown) => unknown> {
     return {
-      [PeerMethod.Beat]: (params) => this.#handleHeartbeat(params as Heartbeat),
-      [PeerMethod.Join]: (params) => this.#handleJoin(params as RouterRef),
+      [PeerMethod.Beat]: (params) =>
+        this.#handleHeartbeat(decodeHeartbeat(params)),
+      [PeerMethod.Join]: (params) => this.#handleJoin(decodeRouterRef(params)),
       [PeerMethod.Silence]: (): SilenceReply => ({
         silentMs: this.#computeSilenceMs(),
         term: this.#term,
@@ -370,7 +377,7 @@
     if (coordinator.node === self.node) return CoordinatorStatus.Ended;
     const link = new PeerLink(coordinator.address);
     try {
-      const answer = await link.call<JoinReply>(PeerMethod.Join, self);
+      const answer = await link.call(PeerMethod.Join, self, decodeJoinReply);
       // A router that declines left this record in a term that has ended.
       return answer.accepted
         ? CoordinatorStatus.Joined
@@ -471,7 +478,7 @@
 async function fetchPeerReport(router: RouterRef): Promise<PeerReport> {
   const link = new PeerLink(router.address);
   try {
-    const answer = await link.call<SilenceReply>(PeerMethod.Silence, {});
+    const answer = await link.call(PeerMethod.Silence, {}, decodeSilenceReply);
     return { router, silentMs: answer.silentMs };
   } catch (error) {
     if (error instanceof PeerError) return { router };
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -7,6 +7,7 @@
   type HeartbeatReply,
   PeerMethod,
 } from "./peer_messages.js";
+import { decodeHeartbeatReply } from "./peer_decoding.js";
 import type { StateChanges } from "./state_changes.js";
 import type { ClusterState } from "./cluster_state.js";
 import { PeerLink } from "./peer_link.js";
@@ -60,9 +61,10 @@
     this.#isSending = true;
     try {
       const { beat, sent } = this.#makeHeartbeat(context);
-      const answer = await this.#link.call<HeartbeatReply>(
+      const answer = await this.#link.call(
         PeerMethod.Beat,
         beat,
+        decodeHeartbeatReply,
       );
       const isApplied = answer.serversNumber === sent.number &&
         answer.ownersNumber === sent.number;
--- a/packages/gateway/src/peer_link.ts
+++ b/packages/gateway/src/peer_link.ts
@@ -89,11 +89,20 @@
     this.#address = address;
   }
 
-  /** Calls a method. Rejects with a `PeerError`. */
-  async call<T>(method: string, params: unknown): Promise<T> {
+  /**
+   * Calls a method and checks the reply with `decode`. Rejects with a
+   * `PeerError`, also if the reply is malformed.
+   */
+  async call<T>(
+    method: string,
+    params: unknown,
+    decode: (reply: unknown) => T,
+  ): Promise<T> {
     const client = await this.#connect();
     try {
-      return await client.timeout(CALL_TIMEOUT_MS).request(method, params) as T;
+      const reply: unknown = await client.timeout(CALL_TIMEOUT_MS)
+        .request(method, params);
+      return decode(reply);
     } catch (error) {
       this.close();
       throw new PeerError(PeerErrorKind.Silent, (error as Error).message);
@@ -131,6 +140,9 @@
   }
 }
 
+/** Longest message, in characters; the state of a whole deployment fits. */
+const MAX_LINE_LENGTH = 16 << 20;
+
 /** Calls `onLine` for each received line. */
 function readLines(socket: Socket, onLine: (line: string) => void): void {
   let rest = "";
@@ -138,6 +150,7 @@
   socket.on("data", (chunk: string) => {
     const lines = (rest + chunk).split("\n");
     rest = lines.pop() ?? "";
+    if (rest.length > MAX_LINE_LENGTH) socket.destroy();
     for (const line of lines) onLine(line);
   });
 }
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./fields.js";
 export * from "./settings.js";
 export * from "./toml_lines.js";
+export * from "./validation.js";
