--- a/packages/ranges/src/balance.ts
+++ b/packages/ranges/src/balance.ts
@@ -84,13 +84,10 @@
   candidates: readonly OwnerCandidate[],
   options: BalanceOptions & { load: KeyLoad },
 ): readonly OwnerChange[] {
-  const usages = listServerUsage(
-    assignments,
-    candidates,
-    options.load,
-  );
-  const changes = [...planHotKeyMoves(usages, options)];
-  if (changes.length > 0) return changes;
+  const usages = listServerUsage(assignments, candidates, options.load);
+  const hotKeyMove = planFirstHotKeyMove(usages, options);
+  if (hotKeyMove) return [hotKeyMove];
+  const changes: OwnerChange[] = [];
   const excluded = new Set<ServerUsage>();
   while (changes.length < options.maxMoves) {
     const pair = chooseMovePair(usages, excluded);
@@ -107,15 +104,17 @@
   return changes;
 }
 
-/** Plans the moves of keys that are too hot for their servers. */
-function planHotKeyMoves(
+/** Plans one move of a hot key; several would choose the same server. */
+function planFirstHotKeyMove(
   usages: readonly ServerUsage[],
   options: BalanceOptions & { load: KeyLoad },
-): readonly OwnerChange[] {
-  if (!options.maySplit) return [];
-  return usages.flatMap((source) =>
-    planHotKeyMove(source, usages, options) ?? []
-  ).slice(0, 1);
+): OwnerChange | undefined {
+  if (!options.maySplit) return undefined;
+  for (const source of usages) {
+    const move = planHotKeyMove(source, usages, options);
+    if (move) return move;
+  }
+  return undefined;
 }
 
 interface MovePair {
