gateway: Write failed peer calls to the log

Cause: each malformed message of another router printed a stack trace of the RPC library to the standard error stream, without a bound.

Change: such calls get a routine line, peerCallFailed, which the log bounds by the second.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -198,7 +198,10 @@
     add.add("placer", this.#placer);
     add.add(
       "peers",
-      new PeerServer(listen.peers, this.#member.makeRpcMethods()),
+      new PeerServer(listen.peers, {
+        methods: this.#member.makeRpcMethods(),
+        log: this.#options.log,
+      }),
     );
     add.add("front", this.#front);
     add.add("ready", new StatusServer(listen.ready, pages));
--- a/packages/gateway/src/peer_link.ts
+++ b/packages/gateway/src/peer_link.ts
@@ -6,6 +6,7 @@
   type JSONRPCResponse,
   JSONRPCServer,
 } from "json-rpc-2.0";
+import { type EventLog, EventPriority } from "@jaytiller/kernel";
 import { bindServer } from "./listen.js";
 import type { ListenAddress } from "./settings.js";
 
@@ -21,12 +22,24 @@
 /** Serves RPC calls of other routers. */
 export class PeerServer {
   readonly #server: Server;
-  readonly #rpc = new JSONRPCServer();
+  readonly #rpc: JSONRPCServer;
   readonly #sockets = new Set<Socket>();
   readonly #listen: ListenAddress;
 
-  constructor(listen: ListenAddress, methods: PeerMethods) {
+  constructor(
+    listen: ListenAddress,
+    { methods, log }: { methods: PeerMethods; log: EventLog },
+  ) {
     this.#listen = listen;
+    // Bounded, because a faulty peer may send any number of messages.
+    this.#rpc = new JSONRPCServer({
+      errorListener: (_message, error) =>
+        log.write(
+          "peerCallFailed",
+          { problem: String(error) },
+          EventPriority.Routine,
+        ),
+    });
     for (const [name, handle] of Object.entries(methods)) {
       this.#rpc.addMethod(name, handle);
     }
--- a/packages/gateway/test/member_link_test.ts
+++ b/packages/gateway/test/member_link_test.ts
@@ -1,6 +1,7 @@
 /** Heartbeats that a coordinator sends to another router. */
 import { OwnerTable, type RouterRef } from "@jaytiller/ranges";
 import { type ServerEntry, ServerState } from "@jaytiller/routing";
+import { EventLog } from "@jaytiller/kernel";
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { test } from "node:test";
@@ -15,6 +16,7 @@
 import { StateChanges } from "../src/state_changes.js";
 import { listen } from "./exchange_fixture.js";
 
+const STDERR_FD = 2;
 const COORDINATOR: RouterRef = {
   node: "r-1",
   incarnation: "a",
@@ -60,7 +62,15 @@
   };
   const [host, port] = address.split(":");
   const listenAddress = { host: host!, port: Number(port) };
-  const server = new PeerServer(listenAddress, { [PeerMethod.Beat]: answer });
+  const server = new PeerServer(listenAddress, {
+    methods: { [PeerMethod.Beat]: answer },
+    log: EventLog.create({
+      node: "peer",
+      fd: STDERR_FD,
+      maxRoutineLinesPerSecond: 0,
+      maxPendingBytes: 0,
+    }),
+  });
   await server.start();
   return { server, address, getBeat: () => beat! };
 }
