gateway: Accept heartbeats with views that were never read

Cause: a coordinator that has not read a configuration, or servers, sends an infinite age, which is null in JSON.

Change: null is an infinite age. Such a receiver reads the store itself.

--- a/packages/gateway/src/peer_decoding.ts
+++ b/packages/gateway/src/peer_decoding.ts
@@ -43,14 +43,9 @@
   const beat = readObject(value, "heartbeat");
   readInteger(beat["term"], "term");
   decodeRouterRef(beat["coordinator"], "coordinator");
-  for (
-    const name of [
-      "routers",
-      "configurationAgeMs",
-      "serversAgeMs",
-      "serversPosition",
-    ]
-  ) readNumber(beat[name], name);
+  for (const name of ["routers", "serversPosition"]) {
+    readNumber(beat[name], name);
+  }
   if (beat["configuration"] !== undefined) {
     checkConfiguration(beat["configuration"]);
   }
@@ -64,7 +59,19 @@
   for (const fingerprint of readArray(beat["barred"] ?? [], "barred")) {
     readString(fingerprint, "barred");
   }
-  return value as Heartbeat;
+  return {
+    ...value as Heartbeat,
+    configurationAgeMs: readAge(
+      beat["configurationAgeMs"],
+      "configurationAgeMs",
+    ),
+    serversAgeMs: readAge(beat["serversAgeMs"], "serversAgeMs"),
+  };
+}
+
+/** Reads an age, ms; that of what was never read is infinite, `null` in JSON. */
+function readAge(value: unknown, path: string): number {
+  return value === null ? Infinity : readNumber(value, path);
 }
 
 /** Checks the reply to a heartbeat. Throws a `FieldError`. */
--- /dev/null
+++ b/packages/gateway/test/peer_decoding_test.ts
@@ -0,0 +1,66 @@
+/** Tests which messages of other routers are accepted. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { decodeHeartbeat, decodeHeartbeatReply } from "../src/peer_decoding.js";
+
+const ROUTER = {
+  node: "r-1",
+  incarnation: "a",
+  address: "10.0.0.1:80",
+  zone: "z",
+  cores: 0.5,
+};
+const HEARTBEAT = {
+  term: 0,
+  coordinator: ROUTER,
+  routers: 2,
+  configurationAgeMs: 10,
+  serversAgeMs: 20,
+  serversPosition: 0,
+};
+const REPLY = {
+  term: -1,
+  router: ROUTER,
+  version: 0,
+  serversNumber: 0,
+  ownersNumber: 0,
+  keys: [["spec", 7, 2]],
+  times: [["i-1", 3, 450]],
+  crashes: { crashes: [], answered: [] },
+};
+
+/** Sends a message through JSON, as routers do. */
+function transmit(message: unknown): unknown {
+  return JSON.parse(JSON.stringify(message));
+}
+
+interface AgeCase {
+  readonly title: string;
+  readonly ages: { configurationAgeMs?: number; serversAgeMs?: number };
+}
+
+const AGE_CASES: readonly AgeCase[] = [
+  { title: "of a coordinator with current views", ages: {} },
+  {
+    title: "of a coordinator that has read no configuration",
+    ages: { configurationAgeMs: Infinity },
+  },
+  {
+    title: "of a coordinator that has read no servers",
+    ages: { serversAgeMs: Infinity },
+  },
+];
+
+for (const { title, ages } of AGE_CASES) {
+  test(`a heartbeat is accepted: ${title}`, () => {
+    const sent = { ...HEARTBEAT, ...ages };
+    assert.deepEqual(decodeHeartbeat(transmit(sent)), sent);
+  });
+}
+
+test("messages of other builds are accepted", () => {
+  const heartbeat = { ...HEARTBEAT, routerList: [ROUTER], later: {} };
+  assert.equal(decodeHeartbeat(transmit(heartbeat)).term, 0);
+  const reply = { ...REPLY, later: 1 };
+  assert.equal(decodeHeartbeatReply(transmit(reply)).term, -1);
+});
