gateway: Log the configuration's age and its failed reads

A refusal named the version, not how long ago it was known to be the newest, and a read of the configuration that got no answer left no line. Change: `configurationAgeMs` in `request` and `refused`, `ageMs` in `configuration`, the event `configurationUnread`, and the metric jaytiller_configuration_age_seconds. No decision changes. Measured: nothing; lines only.

--- a/packages/gateway/src/cluster_state.ts
+++ b/packages/gateway/src/cluster_state.ts
@@ -65,6 +65,15 @@
     return this.#routesConfirmedAt;
   }
 
+  /**
+   * Time since the routes were last known to be current, in whole ms; absent
+   * if they never were.
+   */
+  getRoutesAgeMs(nowMs: number): number | undefined {
+    const ageMs = nowMs - this.#routesConfirmedAt;
+    return ageMs === Infinity ? undefined : Math.round(ageMs);
+  }
+
   get hasServers(): boolean {
     return this.#serversConfirmedAt > -Infinity;
   }
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -130,10 +130,12 @@
     reason: RejectionReason,
   ): void {
     const rejection = REJECTIONS[reason];
-    this.#options.log.write("refused", {
+    const { cluster, log } = this.#options;
+    log.write("refused", {
       request: metadata.attemptId,
       reason,
-      version: this.#options.cluster.routes?.version,
+      version: cluster.routes?.version,
+      configurationAgeMs: cluster.getRoutesAgeMs(performance.now()),
     }, EventPriority.Routine);
     sendEmptyAnswer(response, {
       ...rejection,
@@ -424,6 +426,7 @@
       sentMs: computeOffset(call, call.sentAtMs),
       clientLeftMs: computeOffset(call, call.clientLeftAtMs),
       version: cluster.routes?.version,
+      configurationAgeMs: cluster.getRoutesAgeMs(nowMs),
       owners: cluster.ownersVersion,
       serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
     }, isSuccess ? EventPriority.Routine : EventPriority.Notable);
--- a/packages/gateway/src/feed_reader.ts
+++ b/packages/gateway/src/feed_reader.ts
@@ -45,13 +45,22 @@
       waitMs,
     });
     const page = this.#getPage(result);
-    if (!page) return false;
+    if (!page) {
+      this.#log.record("configurationUnread", {
+        problem: result.problem,
+        waitMs,
+        ms: Math.round(performance.now() - sentAt),
+        ageMs: this.#cluster.getRoutesAgeMs(performance.now()),
+      });
+      return false;
+    }
     this.#configurationPosition = page.position;
     for (const configuration of page.items) {
       if (this.#cluster.applyConfiguration(configuration)) {
         this.#log.record("configuration", {
           version: configuration.version,
           source: "store",
+          ageMs: this.#cluster.getRoutesAgeMs(performance.now()),
         });
       }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -228,6 +228,10 @@
       ["jaytiller_requests_waiting", this.#placer.waiting],
       ["jaytiller_client_connections", this.#front.connections],
       ["jaytiller_configuration_version", this.#cluster.routes?.version ?? 0],
+      [
+        "jaytiller_configuration_age_seconds",
+        (nowMs - this.#cluster.routesConfirmedAt) / 1000,
+      ],
       [
         "jaytiller_servers_age_seconds",
         (nowMs - this.#cluster.serversConfirmedAt) / 1000,
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -188,7 +188,11 @@
     this.#routerCount = beat.routers;
     if (beat.configuration && cluster.applyConfiguration(beat.configuration)) {
       const { version } = beat.configuration;
-      log.record("configuration", { version, source: "coordinator" });
+      log.record("configuration", {
+        version,
+        source: "coordinator",
+        ageMs: cluster.getRoutesAgeMs(nowMs),
+      });
     }
     cluster.confirmRoutes(nowMs - beat.configurationAgeMs);
     cluster.setBarred(beat.barred ?? []);
