gateway: Keep the configuration of each router current by its age

Callers got 404 for a route that had been acknowledged more than 2 s before. Cause: nothing was decided by the age of the configuration. The coordinator's read that waits for a new version got no answer (a silent connection, or a store that answers other calls); it gave up after 3.0 s, paused 0.5 s and could take a silent connection again. Its view of servers stayed fresh, so no other router read for itself. A router that dealt with a coordinator that was gone read once before it joined, asked and claimed. Class: a value passed on as current after its source had gone quiet. Ruled out for the tests: the decoder, the order of versions, the heartbeats themselves. Change: a follower in each router reads the configuration. As the coordinator it waits at the store, and reads again over a new connection once an answer is overdue; otherwise it reads once the age exceeds three quarters of the bound. Heartbeats name the version that was the newest; a read confirms it only if it reached the end of the topic. The times follow from the bound in the settings.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -45,6 +45,8 @@
   readonly leases: LeaseTransport;
   readonly log: EventLog;
   readonly times: LeaseTimes;
+  /** Called when another router has a newer configuration. */
+  readonly onNewerConfiguration: () => void;
   /** Called once this router is no longer the coordinator. */
   readonly onEnd: (reason: string) => void;
 }
@@ -125,11 +127,15 @@
   start(): void {
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     void this.#pollServers();
-    void this.#pollConfiguration();
     void this.#pollOwnership();
     this.#tick();
   }
 
+  /** Sends this router's changed view to all others at once. */
+  announceChanges(): void {
+    this.#sender.notifyAll();
+  }
+
   /** Adds a router, or a known one that has restarted. */
   join(router: RouterRef): void {
     const others = this.#routers.filter((r) => r.node !== router.node);
@@ -448,6 +454,8 @@
     if (answer.term === this.#term) this.#recordAcceptance(router, sent.atMs);
     if (router.incarnation !== recipient.incarnation) this.join(router);
     this.#reports.add(answer);
+    const version = this.#options.cluster.routes?.version ?? 0;
+    if (answer.version > version) this.#options.onNewerConfiguration();
   }
 
   /** Records that a router has accepted the term after `atMs`. */
@@ -475,17 +483,6 @@
     }
   }
 
-  async #pollConfiguration(): Promise<void> {
-    while (!this.#hasEnded) {
-      const version = this.#options.cluster.routes?.version;
-      const waitMs = version === undefined ? 0 : LONG_POLL_TIMEOUT_MS;
-      const isRead = await this.#options.reader.readConfiguration(waitMs);
-      const next = this.#options.cluster.routes?.version;
-      if (next !== version) this.#sender.notifyAll();
-      else if (!isRead || next === undefined) await sleep(STORE_RETRY_DELAY_MS);
-    }
-  }
-
   #logChanges(service: string, changes: readonly OwnerChange[], fence: number) {
     for (const { from, to, owner } of changes) {
       this.#options.log.record("assigned", {
--- a/packages/gateway/src/feed_reader.ts
+++ b/packages/gateway/src/feed_reader.ts
@@ -37,12 +37,18 @@
   }
 
   /** Reads the configuration, waiting up to `waitMs` for a newer one. */
-  async readConfiguration(waitMs: number): Promise<boolean> {
+  async readConfiguration(
+    { waitMs, isNewConnection }: {
+      waitMs: number;
+      isNewConnection: boolean;
+    },
+  ): Promise<boolean> {
     const sentAt = performance.now();
     const position = this.#configurationPosition;
     const result = await this.#store.readConfiguration({
       ...(position === undefined ? {} : { position }),
       waitMs,
+      isNewConnection,
     });
     const page = this.#getPage(result);
     if (!page) {
@@ -64,9 +70,13 @@
         });
       }
     }
-    // A read that waited for nothing has seen the end when it was answered.
-    this.#cluster.confirmRoutes(sentAt);
-    return true;
+    // Without a record the store has waited, and has seen the end after it.
+    const hasWaited = performance.now() - sentAt >= waitMs;
+    const seenAt = hasWaited && page.items.length === 0
+      ? sentAt + waitMs
+      : sentAt;
+    if (page.isEnd) this.#cluster.confirmRoutes(seenAt);
+    return page.isEnd || page.position !== position;
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 import { EventLog, LifeCycle } from "@jaytiller/kernel";
 import type { LeaseTimes, RouterRef } from "@jaytiller/ranges";
+import { ConfigurationFollower } from "./configuration_follower.js";
 import { Coordinator } from "./coordinator.js";
 import { Dispatcher } from "./dispatcher.js";
 import { FeedReader } from "./feed_reader.js";
@@ -55,6 +56,7 @@
   readonly #metrics = new RequestMetrics();
   readonly #loop: LoopMonitor;
   readonly #member: Member;
+  readonly #follower: ConfigurationFollower;
   readonly #front: Frontend;
   readonly #placer: Placer;
   readonly #dispatcher: Dispatcher;
@@ -92,9 +94,17 @@
           leases,
           log,
           times,
+          onNewerConfiguration: () => this.#follower.expectNewer(),
           onEnd: () => this.#member.endTerm(),
         }, claim),
     });
+    this.#follower = new ConfigurationFollower({
+      cluster,
+      reader,
+      log,
+      applyMs: settings.configurationApplyMs,
+      isCoordinator: () => this.#member.isCoordinator,
+    });
     const countRouters = () => this.#member.routerCount;
     this.#placer = new Placer(cluster, stats, {
       zone: settings.zone,
@@ -120,6 +130,7 @@
     });
     cluster.onChange((part) => {
       if (part === ClusterStatePart.Servers) this.#pruneServers();
+      if (part === ClusterStatePart.Routes) this.#member.announceChanges();
     });
     this.#addServices(settings);
   }
@@ -206,6 +217,7 @@
     add.add("front", this.#front);
     add.add("ready", new StatusServer(listen.ready, pages));
     add.add("metrics", new StatusServer(listen.metrics, metrics));
+    add.add("follower", this.#follower);
     add.add("member", this.#member);
   }
 
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -108,6 +108,11 @@
     return this.#term;
   }
 
+  /** Sends changes of this router's view on, if it is the coordinator. */
+  announceChanges(): void {
+    this.#localCoordinator?.announceChanges();
+  }
+
   get isCoordinator(): boolean {
     return this.#localCoordinator !== undefined;
   }
@@ -194,7 +199,10 @@
         ageMs: cluster.getRoutesAgeMs(nowMs),
       });
     }
-    cluster.confirmRoutes(nowMs - beat.configurationAgeMs);
+    // What is known to be the newest has to be here to be confirmed.
+    if ((cluster.routes?.version ?? 0) >= (beat.configurationVersion ?? 0)) {
+      cluster.confirmRoutes(nowMs - beat.configurationAgeMs);
+    }
     cluster.setBarred(beat.barred ?? []);
     cluster.setAdmissionShares(beat.overloaded ?? [], nowMs);
     this.#applyServers(beat, nowMs);
@@ -268,7 +276,6 @@
     const [newest] = await Promise.all([
       this.#readRecord(),
       this.#options.reader.readServers(),
-      this.#options.reader.readConfiguration(0),
     ]);
     const storeLatencyMs = performance.now() - startedAt;
     if (!newest.isAvailable) {
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -99,6 +99,7 @@
       term: context.term,
       coordinator: context.coordinator,
       routers: context.routers,
+      ...(routes ? { configurationVersion: routes.version } : {}),
       configurationAgeMs: Math.round(nowMs - cluster.routesConfirmedAt),
       serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
       serversPosition: servers.position,
--- a/packages/gateway/src/peer_decoding.ts
+++ b/packages/gateway/src/peer_decoding.ts
@@ -49,6 +49,7 @@
   if (beat["configuration"] !== undefined) {
     checkConfiguration(beat["configuration"]);
   }
+  readInteger(beat["configurationVersion"] ?? 0, "configurationVersion");
   checkDelta(beat["servers"], "servers", checkServerChange);
   checkDelta(beat["owners"], "owners", checkServiceRanges);
   for (const item of readArray(beat["overloaded"] ?? [], "overloaded")) {
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -42,6 +42,8 @@
   /** Number of routers. */
   readonly routers: number;
   readonly configuration?: Configuration;
+  /** Version that was the newest that long ago; older builds omit it. */
+  readonly configurationVersion?: number;
   readonly configurationAgeMs: number;
   readonly serversAgeMs: number;
   readonly serversPosition: number;
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -30,6 +30,8 @@
   readonly position: number;
   /** Whether the items are the complete state instead of changes. */
   readonly isSnapshot: boolean;
+  /** Whether the feed ended at `position` when the read was answered. */
+  readonly isEnd: boolean;
 }
 
 /** Position and timeout of a read. */
@@ -38,6 +40,8 @@
   readonly position?: number;
   /** Time to wait for new items, ms. */
   readonly waitMs: number;
+  /** Whether to open a new connection, because kept ones may be silent. */
+  readonly isNewConnection?: boolean;
 }
 
 /** An ownership record and its offset. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -32,6 +32,8 @@
   readonly maxHoldMs: number;
   /** Time between two heartbeats of a backend server to the store, ms. */
   readonly serverHeartbeatMs: number;
+  /** Time within which a confirmed configuration has to be in force, ms. */
+  readonly configurationApplyMs: number;
   /** Time from SIGTERM to SIGKILL, ms. */
   readonly stopMs: number;
 }
--- a/packages/gateway/test/server_updates_test.ts
+++ b/packages/gateway/test/server_updates_test.ts
@@ -56,7 +56,7 @@
     const items = isSnapshot
       ? this.#listNewest()
       : this.records.slice(position);
-    const value = { items, position: end, isSnapshot };
+    const value = { items, position: end, isSnapshot, isEnd: true };
     return Promise.resolve({ end: StoreEnd.Done, value });
   }
 
