gateway: Refuse paths without a route while the routes are old

Callers got a final 404 for a route that exists from a router that could not know of it: its configuration was older than the time within which a confirmed version has to be in force. Cause: a path that no known route matches was answered 404, whatever the age of the routes. Change: above that age the answer is 503 with Retry-After, reason routesOld. Known routes are still served.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -107,7 +107,10 @@
     }
     const host = request.headers.host ?? "";
     const route = table.match(host, request.url ?? "/");
-    if (!route) return this.#reject(received, metadata, "noRoute");
+    if (!route) {
+      const reason = this.#areRoutesOld(nowMs) ? "routesOld" : "noRoute";
+      return this.#reject(received, metadata, reason);
+    }
     const service = this.#splits.chooseService(route);
     const call = new ClientCall(request, response, {
       metadata,
@@ -124,6 +127,12 @@
     }
   }
 
+  /** Returns whether a route may be in force that is not known here. */
+  #areRoutesOld(nowMs: number): boolean {
+    const { cluster, settings } = this.#options;
+    return nowMs - cluster.routesConfirmedAt > settings().configurationApplyMs;
+  }
+
   #reject(
     { response, pipelined }: ReceivedRequest,
     metadata: RequestMetadata,
@@ -467,7 +476,7 @@
 }
 
 /** Why a request is refused before it is routed. */
-type RejectionReason = "starting" | "stopping" | "noRoute";
+type RejectionReason = "starting" | "stopping" | "noRoute" | "routesOld";
 
 const REJECTIONS: Readonly<
   Record<RejectionReason, { status: RouterStatus; retryAfterMs?: number }>
@@ -479,6 +488,10 @@
   // Other routers can serve the request at once.
   stopping: { status: RouterStatus.Refused, retryAfterMs: 0 },
   noRoute: { status: RouterStatus.NotFound },
+  routesOld: {
+    status: RouterStatus.Refused,
+    retryAfterMs: STARTING_RETRY_AFTER_MS,
+  },
 };
 
 /** Results after which no server has received any byte of the request. */
