gateway: Confirm servers only by a read that reached the end of the feed

A page that ended before the feed confirmed the view of servers as of the time it was asked for, though the rest could remove or drain a server. Change: such a page changes the view and leaves its age as it is. Measured: 'a page that ends before the feed does not confirm the servers' failed before and passes now.

--- a/packages/gateway/src/feed_reader.ts
+++ b/packages/gateway/src/feed_reader.ts
@@ -111,13 +111,17 @@
     });
     // The coordinator has sent newer changes during the read.
     if (page.position < cluster.servers.position) {
-      return cluster.confirmServers(sentAt);
+      if (page.isEnd) cluster.confirmServers(sentAt);
+      return;
     }
     this.#serversPosition = page.position;
     const changes = page.isSnapshot ? this.#addRemovals(page) : page.items;
     cluster.applyServers(
       this.#expiryGuard.filter(changes, cluster.servers, nowMs),
-      { position: page.position, atMs: sentAt },
+      {
+        position: page.position,
+        atMs: page.isEnd ? sentAt : cluster.serversConfirmedAt,
+      },
     );
   }
 
--- a/packages/gateway/test/server_updates_test.ts
+++ b/packages/gateway/test/server_updates_test.ts
@@ -49,14 +49,17 @@
 /** In-memory store with a server feed; every other call is refused. */
 class FakeStore implements PlatformStore {
   readonly records: ServerChange[] = [];
+  /** Largest number of records that one read returns. */
+  pageSize = Infinity;
 
   readServers({ position }: { position?: number }) {
-    const end = this.records.length;
     const isSnapshot = position === undefined;
     const items = isSnapshot
       ? this.#listNewest()
-      : this.records.slice(position);
-    const value = { items, position: end, isSnapshot, isEnd: true };
+      : this.records.slice(position, position + this.pageSize);
+    const end = isSnapshot ? this.records.length : position + items.length;
+    const isEnd = end === this.records.length;
+    const value = { items, position: end, isSnapshot, isEnd };
     return Promise.resolve({ end: StoreEnd.Done, value });
   }
 
@@ -176,3 +179,18 @@
   );
   assert.equal(listIds(cluster), "i-1,i-2");
 });
+
+test("a page that ends before the feed does not confirm the servers", async () => {
+  const { store, cluster, reader } = makeRouter();
+  store.records.push({ id: "i-1", entry: makeEntry("i-1", 1) });
+  await reader.readServers();
+  const confirmedAt = cluster.serversConfirmedAt;
+  store.pageSize = 1;
+  store.records.push({ id: "i-2", entry: makeEntry("i-2", 1) });
+  store.records.push({ id: "i-3", entry: makeEntry("i-3", 1) });
+  await reader.readServers();
+  assert.equal(cluster.serversConfirmedAt, confirmedAt, "one record is left");
+  await reader.readServers();
+  assert.ok(cluster.serversConfirmedAt > confirmedAt, "all records are read");
+  assert.equal(listIds(cluster), "i-1,i-2,i-3");
+});
