--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { LeaseCall, LeaseCallResult } from "@jaytiller/ranges";
 import type { Configuration, ServerChange } from "@jaytiller/routing";
-import type { ServerLoad } from "@jaytiller/placement";
+import type { ServerLoad, ServerNotice } from "@jaytiller/placement";
 
 /** How a call to the platform's store ended. */
 export enum StoreEnd {
@@ -86,6 +86,8 @@
   /** Whether the server guarantees that the request has not run. */
   readonly isNotRun: boolean;
   readonly load?: ServerLoad;
+  /** What else the server says about itself. */
+  readonly notice: ServerNotice;
 }
 
 /** Reads and makes the headers of clients, routers and backend servers. */
--- a/packages/gateway/test/exchange_fixture.ts
+++ b/packages/gateway/test/exchange_fixture.ts
@@ -19,6 +19,7 @@
     attemptId: String(headers["x-id"]),
     isSigned: headers["x-signature"] !== undefined,
     isNotRun: headers["x-not-run"] !== undefined,
+    notice: { isLeaving: false },
   }),
   makeServerHeaders: () => [],
   replacedHeaders: new Set(),
--- /dev/null
+++ b/packages/placement/src/server_notice.ts
@@ -0,0 +1,17 @@
+/** What a server says about itself with a response. @module */
+
+/** A server's words about itself; each response carries all of them. */
+export interface ServerNotice {
+  /**
+   * Requests per second that it takes from all routers together; absent if it
+   * names no limit.
+   */
+  readonly requestsPerSecond?: number;
+  /** Whether it is about to stop. */
+  readonly isLeaving: boolean;
+  /**
+   * Time for which it wants no more requests from this router, ms; only with a
+   * rejection.
+   */
+  readonly pauseMs?: number;
+}
