gateway: Share the limit that a server names among all routers

Cause: no code knew the word. Class: a budget of the whole fleet that each router would have to keep without knowing of the others. Ruled out by tests: a limit for each router, whose sum grows with their number. Change: one allowance for each server at the coordinator. A router that reaches no coordinator uses time slots. What servers said travels with heartbeats and their replies, the newest word counts. The limit is the server's capacity, so its keys move to servers with room.

--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -16,7 +16,8 @@
   Predecessors,
   type RouterRef,
 } from "@jaytiller/ranges";
-import type { HeartbeatReply } from "./peer_messages.js";
+import { type PermitGrant, PermitIssuer } from "@jaytiller/placement";
+import type { HeartbeatReply, PermitRequest } from "./peer_messages.js";
 import type { FeedReader } from "./feed_reader.js";
 import type { ClusterState } from "./cluster_state.js";
 import { HeartbeatSender, type SentHeartbeat } from "./heartbeat_sender.js";
@@ -80,6 +81,7 @@
   readonly #sender: HeartbeatSender;
   readonly #records: OwnershipLog;
   readonly #reports: LoadReports;
+  readonly #permits = new PermitIssuer();
   readonly #pauseDetector = new PauseDetector();
   readonly #predecessors: Predecessors;
   #routers: readonly RouterRef[];
@@ -131,6 +133,17 @@
     this.#tick();
   }
 
+  /** Issues permits for a server that names a limit. */
+  issuePermits(request: PermitRequest): PermitGrant {
+    const { notices } = this.#options.stats;
+    const { server, count } = request;
+    return this.#permits.issue(server, {
+      count,
+      requestsPerSecond: notices.getLimit(server) ?? request.requestsPerSecond,
+      nowMs: performance.now(),
+    });
+  }
+
   /** Sends this router's changed view to all others at once. */
   announceChanges(): void {
     this.#sender.notifyAll();
@@ -252,6 +265,8 @@
       this.#nextBalanceMs = nowMs + BALANCE_INTERVAL_MS;
       this.#removeSilentRouters();
       this.#reports.advance(nowMs);
+      const { notices } = this.#options.stats;
+      this.#permits.retain((id) => notices.getLimit(id) !== undefined);
       this.#limitAdmission(nowMs);
     }
     const changes = new Map<string, readonly OwnerChange[]>();
@@ -442,6 +457,7 @@
       nowMs,
       overloaded: this.#reports.admissionShares,
       barred: this.#reports.listPoisonRequests(nowMs),
+      notices: this.#options.stats.notices.listReports(nowMs),
     };
   }
 
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -55,6 +55,7 @@
 /** `Retry-After` of a request that crashes servers, ms. */
 const BARRED_RETRY_AFTER_MS = 5_000;
 const FINGERPRINT_LENGTH = 16;
+const MISDIRECTED_STATUS = 421;
 /** Least time until the deadline for which a retry is sent, ms. */
 const MIN_RETRY_TIME_MS = 30;
 
@@ -243,10 +244,24 @@
       latencyMs: result.latencyMs,
       ...(result.metadata?.load ? { load: result.metadata.load } : {}),
     });
+    this.#recordNotice(server, result);
     placer.advance();
     return result;
   }
 
+  /** Records what a server says about itself with a response of its own. */
+  #recordNotice(server: ServerEntry, { metadata, answer }: ExchangeResult) {
+    // A 421 may come from another server at the same address.
+    if (!metadata || answer?.status === MISDIRECTED_STATUS) return;
+    const { notice } = metadata;
+    const { stats, log } = this.#options;
+    if (!stats.notices.record(server, notice, performance.now())) return;
+    log.record("serverLimit", {
+      server: server.id,
+      requestsPerSecond: notice.requestsPerSecond,
+    });
+  }
+
   /**
    * A server that got an attempt before may send its earlier response once
    * more, with the id of that attempt. No kept connection is used for it again.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { ClusterState, ClusterStatePart } from "./cluster_state.js";
 import { Member } from "./member.js";
 import { PeerServer } from "./peer_link.js";
+import { PermitClient } from "./permit_client.js";
 import { Placer } from "./placer.js";
 import type {
   LeaseTransport,
@@ -58,6 +59,7 @@
   readonly #member: Member;
   readonly #follower: ConfigurationFollower;
   readonly #front: Frontend;
+  readonly #permits: PermitClient;
   readonly #placer: Placer;
   readonly #dispatcher: Dispatcher;
   readonly #startedAt = performance.now();
@@ -106,9 +108,18 @@
       isCoordinator: () => this.#member.isCoordinator,
     });
     const countRouters = () => this.#member.routerCount;
+    this.#permits = new PermitClient({
+      notices: stats.notices,
+      log,
+      getCoordinator: () => this.#member.coordinator,
+      issuePermits: (request) => this.#member.issuePermits(request),
+      countRouters,
+      onPermits: () => this.#placer.advance(),
+    });
     this.#placer = new Placer(cluster, stats, {
       zone: settings.zone,
       countRouters,
+      permits: this.#permits,
     });
     this.#dispatcher = new Dispatcher({
       settings: options.settings,
@@ -206,6 +217,7 @@
     };
     const add = this.#lifeCycle;
     add.add("loop", this.#loop);
+    add.add("permits", this.#permits);
     add.add("placer", this.#placer);
     add.add(
       "peers",
@@ -231,6 +243,11 @@
     );
     this.#agents.retain(isKnown);
     this.#stats.retain(isKnown);
+    this.#permits.retain(isKnown);
+    this.#stats.notices.retain(
+      (id) => this.#cluster.servers.find(id)?.born,
+      nowMs,
+    );
   }
 
   #formatMetrics(): string {
--- a/packages/gateway/src/load_reports.ts
+++ b/packages/gateway/src/load_reports.ts
@@ -14,6 +14,8 @@
 import type { TrafficStats } from "./traffic_stats.js";
 
 const MAX_REPORTED_KEYS = 400;
+/** Least capacity of a server, requests per second. */
+const MIN_CAPACITY = 0.1;
 
 /** Merges the reports of all routers; owned by the coordinator. */
 export class LoadReports {
@@ -37,6 +39,7 @@
   add(reply: HeartbeatReply): void {
     this.#estimator.addReport(reply.keys, reply.times);
     this.#crashes.add(reply.crashes, performance.now());
+    this.#stats.notices.merge(reply.notices ?? [], performance.now());
   }
 
   /** Adds this router's own report, and advances the estimates to `nowMs`. */
@@ -67,7 +70,19 @@
       ...options,
       view,
       load: this.#estimator.getLoad(service),
-      getCapacity: this.#estimator.makeCapacityLookup(view, service),
+      getCapacity: this.#makeCapacityLookup(service),
+    };
+  }
+
+  /** A server's capacity is what it can run, or the limit that it names. */
+  #makeCapacityLookup(service: string): (id: string) => number {
+    const { notices } = this.#stats;
+    const view = this.#cluster.servers;
+    const estimate = this.#estimator.makeCapacityLookup(view, service);
+    return (id) => {
+      const limit = notices.getLimit(id);
+      if (limit === undefined) return estimate(id);
+      return Math.min(estimate(id), Math.max(MIN_CAPACITY, limit));
     };
   }
 
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -14,11 +14,14 @@
   type HeartbeatReply,
   type JoinReply,
   PeerMethod,
+  type PermitReply,
+  type PermitRequest,
   type SilenceReply,
 } from "./peer_messages.js";
 import {
   decodeHeartbeat,
   decodeJoinReply,
+  decodePermitRequest,
   decodeRouterRef,
   decodeSilenceReply,
 } from "./peer_decoding.js";
@@ -78,6 +81,8 @@
   #term = -1;
   #routerCount = 1;
   #coordinatorHeardAt = -Infinity;
+  /** Coordinator that sent the last heartbeat. */
+  #coordinator: RouterRef | undefined;
   #serversNumber = 0;
   /** Server view after the coordinator's last changes were applied. */
   #coordinatorServers: ServerView | undefined;
@@ -108,6 +113,19 @@
     return this.#term;
   }
 
+  /** Coordinator that this router follows; absent before the first heartbeat. */
+  get coordinator(): RouterRef | undefined {
+    return this.#coordinator;
+  }
+
+  /** Issues permits to this or another router, if this is the coordinator. */
+  issuePermits(request: PermitRequest): PermitReply {
+    const grant = this.#localCoordinator?.issuePermits(request);
+    return grant
+      ? { accepted: true, ...grant }
+      : { accepted: false, granted: 0, waitMs: 0 };
+  }
+
   /** Sends changes of this router's view on, if it is the coordinator. */
   announceChanges(): void {
     this.#localCoordinator?.announceChanges();
@@ -136,6 +154,8 @@
       [PeerMethod.Beat]: (params) =>
         this.#handleHeartbeat(decodeHeartbeat(params)),
       [PeerMethod.Join]: (params) => this.#handleJoin(decodeRouterRef(params)),
+      [PeerMethod.Permit]: (params) =>
+        this.issuePermits(decodePermitRequest(params)),
       [PeerMethod.Silence]: (): SilenceReply => ({
         silentMs: this.#computeSilenceMs(),
         term: this.#term,
@@ -153,9 +173,11 @@
   #handleHeartbeat(beat: Heartbeat): HeartbeatReply {
     const { self, cluster, stats } = this.#options;
     if (beat.term >= this.#term && !this.#hasStopped) this.#follow(beat);
+    const notices = stats.notices.takeReports(performance.now());
     return {
       term: this.#term,
       router: self,
+      ...(notices.length > 0 ? { notices } : {}),
       version: cluster.routes?.version ?? 0,
       serversNumber: this.#getServersNumber(),
       ownersNumber: this.#ownersNumber,
@@ -189,6 +211,8 @@
       });
     }
     this.#coordinatorHeardAt = nowMs;
+    this.#coordinator = beat.coordinator;
+    this.#options.stats.notices.merge(beat.notices ?? [], nowMs);
     this.#coordinatorServersAgeMs = beat.serversAgeMs;
     this.#routerCount = beat.routers;
     if (beat.configuration && cluster.applyConfiguration(beat.configuration)) {
--- a/packages/gateway/src/member_link.ts
+++ b/packages/gateway/src/member_link.ts
@@ -1,4 +1,5 @@
 /** The coordinator's link to one other router. @module */
+import type { NoticeReport } from "@jaytiller/placement";
 import type { OwnerTable, RouterRef } from "@jaytiller/ranges";
 import type { ServerView } from "@jaytiller/routing";
 import {
@@ -24,6 +25,8 @@
   readonly overloaded: readonly AdmissionShare[];
   /** Fingerprints of requests that crash servers. */
   readonly barred: readonly string[];
+  /** What servers said about themselves. */
+  readonly notices: readonly NoticeReport[];
 }
 
 /** State that one heartbeat carried, as the base of later changes. */
@@ -86,7 +89,7 @@
   #makeHeartbeat(
     context: HeartbeatContext,
   ): { beat: Heartbeat; sent: SentState } {
-    const { cluster, changes, nowMs, overloaded, barred } = context;
+    const { cluster, changes, nowMs, overloaded, barred, notices } = context;
     const { servers, owners, routes } = cluster;
     const acknowledged = this.#acknowledged;
     const hasChanges = !acknowledged || acknowledged.servers !== servers ||
@@ -105,6 +108,7 @@
       serversPosition: servers.position,
       ...(overloaded.length > 0 ? { overloaded } : {}),
       ...(barred.length > 0 ? { barred } : {}),
+      ...(notices.length > 0 ? { notices } : {}),
       ...(isConfigurationOld ? { configuration: routes.configuration } : {}),
       ...(hasChanges
         ? {
--- a/packages/gateway/src/peer_decoding.ts
+++ b/packages/gateway/src/peer_decoding.ts
@@ -18,6 +18,8 @@
   Heartbeat,
   HeartbeatReply,
   JoinReply,
+  PermitReply,
+  PermitRequest,
   SilenceReply,
 } from "./peer_messages.js";
 
@@ -60,6 +62,7 @@
   for (const fingerprint of readArray(beat["barred"] ?? [], "barred")) {
     readString(fingerprint, "barred");
   }
+  checkNotices(beat["notices"]);
   return {
     ...value as Heartbeat,
     configurationAgeMs: readAge(
@@ -103,6 +106,7 @@
     readString(life, "crashes.life");
   }
   readArray(answered, "crashes.answered");
+  checkNotices(reply["notices"]);
   return value as HeartbeatReply;
 }
 
@@ -121,6 +125,39 @@
   };
 }
 
+/** Checks a request for permits. Throws a `FieldError`. */
+export function decodePermitRequest(value: unknown): PermitRequest {
+  const request = readObject(value, "request");
+  return {
+    server: readString(request["server"], "server"),
+    requestsPerSecond: readNumber(
+      request["requestsPerSecond"],
+      "requestsPerSecond",
+    ),
+    count: readInteger(request["count"], "count"),
+  };
+}
+
+/** Checks the reply to a request for permits. Throws a `FieldError`. */
+export function decodePermitReply(value: unknown): PermitReply {
+  const reply = readObject(value, "reply");
+  return {
+    accepted: readBoolean(reply["accepted"], "accepted"),
+    granted: readInteger(reply["granted"], "granted"),
+    waitMs: readNumber(reply["waitMs"], "waitMs"),
+  };
+}
+
+function checkNotices(value: unknown): void {
+  for (const item of readArray(value ?? [], "notices")) {
+    const notice = readObject(item, "notices");
+    readString(notice["server"], "notices.server");
+    readInteger(notice["born"], "notices.born");
+    readNumber(notice["ageMs"], "notices.ageMs");
+    readNumber(notice["requestsPerSecond"] ?? 0, "notices.requestsPerSecond");
+  }
+}
+
 function checkConfiguration(value: unknown): void {
   const configuration = readObject(value, "configuration");
   readInteger(configuration["version"], "configuration.version");
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -1,7 +1,11 @@
 /** Messages between the coordinator and the other routers. @module */
 import type { OwnedRange, RouterRef } from "@jaytiller/ranges";
 import type { Configuration, ServerChange } from "@jaytiller/routing";
-import type { CrashReport } from "@jaytiller/placement";
+import type {
+  CrashReport,
+  NoticeReport,
+  PermitGrant,
+} from "@jaytiller/placement";
 import type { KeyCount, ServiceTime } from "./traffic_stats.js";
 
 /** RPC method names. */
@@ -9,6 +13,7 @@
   Beat = "beat",
   Join = "join",
   Silence = "silence",
+  Permit = "permit",
 }
 
 /**
@@ -53,6 +58,8 @@
   readonly overloaded?: readonly AdmissionShare[];
   /** Fingerprints of requests that crash servers; absent if there are none. */
   readonly barred?: readonly string[];
+  /** What servers said about themselves; absent if none did. */
+  readonly notices?: readonly NoticeReport[];
 }
 
 /** Reply to a heartbeat: the acknowledged state and the router's statistics. */
@@ -69,6 +76,8 @@
   readonly keys: readonly KeyCount[];
   readonly times: readonly ServiceTime[];
   readonly crashes: CrashReport;
+  /** What servers said to this router since the last reply; absent if none. */
+  readonly notices?: readonly NoticeReport[];
 }
 
 /** Reply to a join request. */
@@ -77,6 +86,20 @@
   readonly accepted: boolean;
 }
 
+/** Asks the coordinator for permits for a server that names a limit. */
+export interface PermitRequest {
+  readonly server: string;
+  /** Limit that the asking router knows, requests per second. */
+  readonly requestsPerSecond: number;
+  readonly count: number;
+}
+
+/** Reply to a request for permits. */
+export interface PermitReply extends PermitGrant {
+  /** Whether the replying router is the coordinator. */
+  readonly accepted: boolean;
+}
+
 /** Tells how long a router has received no heartbeat, ms. */
 export interface SilenceReply {
   readonly silentMs: number;
--- /dev/null
+++ b/packages/gateway/src/permit_client.ts
@@ -0,0 +1,208 @@
+/** Gets permits for requests to servers that name a limit. @module */
+import type { EventLog } from "@jaytiller/kernel";
+import {
+  MIN_REQUESTS_PER_SECOND,
+  type PermitGrant,
+  PermitSlots,
+  PermitStock,
+  type ServerNotices,
+} from "@jaytiller/placement";
+import type { RouterRef } from "@jaytiller/ranges";
+import { decodePermitReply } from "./peer_decoding.js";
+import { PeerError, PeerLink } from "./peer_link.js";
+import {
+  PeerMethod,
+  type PermitReply,
+  type PermitRequest,
+} from "./peer_messages.js";
+
+/** Dependencies of a permit client. */
+export interface PermitClientOptions {
+  readonly notices: ServerNotices;
+  readonly log: EventLog;
+  /** Returns the coordinator that this router follows, if there is one. */
+  readonly getCoordinator: () => RouterRef | undefined;
+  /** Issues permits if this router is the coordinator. */
+  readonly issuePermits: (request: PermitRequest) => PermitReply;
+  /** Returns the number of routers that share a server's limit. */
+  readonly countRouters: () => number;
+  /** Called when permits have arrived from the coordinator. */
+  readonly onPermits: () => void;
+}
+
+/** Time in which the coordinator usually answers, ms. */
+const EXPECTED_ANSWER_MS = 30;
+/** Time after a failed call for which the coordinator isn't asked, ms. */
+const COORDINATOR_RETRY_DELAY_MS = 500;
+/** Part of a limit that is used while other servers have room. */
+const IDLE_SHARE = 0.25;
+/** Time for which permits are asked for in advance, s. */
+const ADVANCE_S = 0.1;
+
+interface ServerPermits {
+  readonly stock: PermitStock;
+  readonly slots: PermitSlots;
+  isAsking: boolean;
+  /** Monotonic time at which this router's share is asked for next, ms. */
+  shareDueMs: number | undefined;
+  /** Monotonic time before which no permit is expected, ms. */
+  notBeforeMs: number;
+}
+
+/** This router's permits by server. */
+export class PermitClient {
+  readonly #options: PermitClientOptions;
+  readonly #servers = new Map<string, ServerPermits>();
+  #link: { readonly address: string; readonly peer: PeerLink } | undefined;
+  #coordinatorRetryMs = -Infinity;
+
+  constructor(options: PermitClientOptions) {
+    this.#options = options;
+  }
+
+  stop(): void {
+    this.#link?.peer.close();
+  }
+
+  /** Returns whether a request may be sent to a server as far as its limit. */
+  isAllowed(server: string, nowMs: number): boolean {
+    return this.#options.notices.getLimit(server) === undefined ||
+      this.#get(server).stock.has(nowMs);
+  }
+
+  /** Uses a permit for a request that is sent to a server with a limit. */
+  use(server: string, nowMs: number): void {
+    if (this.#options.notices.getLimit(server) === undefined) return;
+    this.#get(server).stock.take(nowMs);
+  }
+
+  /**
+   * Asks for permits for `waiting` requests, unless there was an answer just
+   * now. Returns the time after which one may be there, ms; 0 if it is.
+   */
+  request(
+    server: string,
+    { waiting, nowMs }: { waiting: number; nowMs: number },
+  ): number {
+    const requestsPerSecond = this.#options.notices.getLimit(server);
+    const permits = this.#get(server);
+    if (requestsPerSecond === undefined) return 0;
+    if (nowMs < permits.notBeforeMs) return permits.notBeforeMs - nowMs;
+    if (permits.isAsking) return EXPECTED_ANSWER_MS;
+    const routers = Math.max(1, this.#options.countRouters());
+    const advance = Math.floor(ADVANCE_S * requestsPerSecond / routers);
+    const request = { server, requestsPerSecond, count: waiting + advance };
+    const reply = this.#options.issuePermits(request);
+    if (reply.accepted) this.#add(permits, reply);
+    else this.#askCoordinator(permits, request);
+    if (permits.stock.has(nowMs)) return 0;
+    return permits.isAsking
+      ? EXPECTED_ANSWER_MS
+      : Math.max(0, permits.notBeforeMs - nowMs);
+  }
+
+  /**
+   * Asks for a permit now and then, as seldom as it falls to this router: other
+   * servers have room, but whether the limit has ended shows only by requests.
+   */
+  requestShare(server: string, nowMs: number): void {
+    const limit = this.#options.notices.getLimit(server);
+    if (limit === undefined) return;
+    const routers = Math.max(1, this.#options.countRouters());
+    const rate = IDLE_SHARE * Math.max(MIN_REQUESTS_PER_SECOND, limit) /
+      routers;
+    const permits = this.#get(server);
+    const periodMs = 1000 / rate;
+    // At a random time of each period, as all routers hear of a limit at once.
+    permits.shareDueMs ??= nowMs + Math.random() * periodMs;
+    if (nowMs < permits.shareDueMs) return;
+    permits.shareDueMs = nowMs + (0.5 + Math.random()) * periodMs;
+    this.request(server, { waiting: 1, nowMs });
+  }
+
+  /** Forgets servers that are gone. */
+  retain(isKnown: (id: string) => boolean): void {
+    for (const [id, { isAsking }] of this.#servers) {
+      if (!isAsking && !isKnown(id)) this.#servers.delete(id);
+    }
+  }
+
+  #get(server: string): ServerPermits {
+    const known = this.#servers.get(server);
+    if (known) return known;
+    const permits = {
+      stock: new PermitStock(),
+      slots: new PermitSlots(),
+      isAsking: false,
+      shareDueMs: undefined,
+      notBeforeMs: -Infinity,
+    };
+    this.#servers.set(server, permits);
+    return permits;
+  }
+
+  #add(permits: ServerPermits, { granted, waitMs }: PermitGrant): void {
+    const nowMs = performance.now();
+    permits.stock.add(granted, nowMs);
+    permits.notBeforeMs = granted > 0 ? nowMs : nowMs + waitMs;
+  }
+
+  #askCoordinator(permits: ServerPermits, request: PermitRequest): void {
+    const coordinator = this.#options.getCoordinator();
+    const nowMs = performance.now();
+    if (!coordinator || nowMs < this.#coordinatorRetryMs) {
+      return this.#takeSlot(permits, request);
+    }
+    permits.isAsking = true;
+    void this.#call(coordinator, request).then((reply) => {
+      permits.isAsking = false;
+      if (reply?.accepted) {
+        const granted = Math.min(request.count, reply.granted);
+        this.#add(permits, { granted, waitMs: reply.waitMs });
+      } else {
+        this.#coordinatorRetryMs = performance.now() +
+          COORDINATOR_RETRY_DELAY_MS;
+        this.#takeSlot(permits, request);
+      }
+      this.#options.onPermits();
+    });
+  }
+
+  #takeSlot(
+    permits: ServerPermits,
+    { requestsPerSecond }: PermitRequest,
+  ): void {
+    const grant = permits.slots.take({
+      nowMs: performance.now(),
+      requestsPerSecond,
+      routers: this.#options.countRouters(),
+      random: Math.random,
+    });
+    this.#add(permits, grant);
+  }
+
+  /** Calls the coordinator; resolves to `undefined` if it does not answer. */
+  async #call(
+    { address }: RouterRef,
+    request: PermitRequest,
+  ): Promise<PermitReply | undefined> {
+    if (this.#link?.address !== address) {
+      this.#link?.peer.close();
+      this.#link = { address, peer: new PeerLink(address) };
+    }
+    try {
+      return await this.#link.peer.call(
+        PeerMethod.Permit,
+        request,
+        decodePermitReply,
+      );
+    } catch (error) {
+      if (!(error instanceof PeerError)) throw error;
+      this.#options.log.record("permitsUnavailable", {
+        server: request.server,
+        problem: error.message,
+      });
+      return undefined;
+    }
+  }
+}
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -1,7 +1,9 @@
 /** Selects a server for a request, immediately or after a wait. @module */
 import {
   type Admission,
+  type Candidate,
   chooseServer,
+  computeMaxWait,
   computeRetryAfter,
   computeShare,
   decideAdmission,
@@ -17,6 +19,7 @@
 } from "@jaytiller/routing";
 import type { ClientCall } from "./client_call.js";
 import type { ClusterState } from "./cluster_state.js";
+import type { PermitClient } from "./permit_client.js";
 import type { TrafficStats } from "./traffic_stats.js";
 
 /** Why no server was selected. */
@@ -25,6 +28,8 @@
   Overloaded = "overloaded",
   /** The owner gets only a share of the requests for its keys. */
   OwnerOverloaded = "ownerOverloaded",
+  /** The owner names a limit that is used up. */
+  OwnerLimited = "ownerLimited",
   /** No ready server owns the key, for example while the key moves. */
   KeyMoving = "keyMoving",
   /** The owner, or every server of the service, does not accept connections. */
@@ -85,6 +90,8 @@
   readonly zone: string;
   /** Returns the number of routers that share the servers. */
   readonly countRouters: () => number;
+  /** Permits for servers that name a limit. */
+  readonly permits: PermitClient;
 }
 
 /** Assigns requests to servers that may run them. */
@@ -93,6 +100,7 @@
   readonly #stats: TrafficStats;
   readonly #zone: string;
   readonly #countRouters: () => number;
+  readonly #permits: PermitClient;
   readonly #queue = WaitQueue.create({ capacity: MAX_WAITING });
   #timer: NodeJS.Timeout | undefined;
 
@@ -105,6 +113,7 @@
     this.#stats = stats;
     this.#zone = options.zone;
     this.#countRouters = options.countRouters;
+    this.#permits = options.permits;
     cluster.onChange(() => this.advance());
   }
 
@@ -157,6 +166,7 @@
   }
 
   #reserve({ server }: ReservedServer): ReservedServer {
+    this.#permits.use(server.id, performance.now());
     this.#stats.get(server.id).begin(this.#computeShare(server));
     return { server };
   }
@@ -247,6 +257,12 @@
       return refuse(RefusalReason.OwnerOverloaded, OVERLOAD_RETRY_AFTER_MS);
     }
     const resource = `server/${server.id}`;
+    const limited = this.#attemptLimited(call, {
+      ...options,
+      server,
+      resource,
+    });
+    if (limited) return limited;
     const assumedMs = stats.measuredServiceMs ??
       this.#stats.computeMeanServiceMs(
         this.#cluster.servers.listReady(service.name),
@@ -266,12 +282,57 @@
     return makeAttempt(admission, { server, resource, leftMs });
   }
 
+  /**
+   * Returns how to go on without a permit for a server that names a limit, or
+   * `undefined` if there is one, or none is needed.
+   */
+  #attemptLimited(
+    call: ClientCall,
+    { nowMs, server, resource }: AttemptOptions & {
+      server: ServerEntry;
+      resource: string;
+    },
+  ): Attempt | undefined {
+    if (this.#permits.isAllowed(server.id, nowMs)) return undefined;
+    const ahead = this.#queue.countAhead(resource, call.route.priority);
+    const permitMs = this.#permits.request(server.id, {
+      waiting: ahead + 1,
+      nowMs,
+    });
+    if (permitMs === 0) return undefined;
+    const leftMs = call.deadlineMs - nowMs;
+    const waitMs = computeMaxWait({ leftMs, targetMs: call.route.targetMs });
+    return permitMs > waitMs
+      ? refuse(RefusalReason.OwnerLimited, computeRetryAfter(permitMs))
+      : { resource, waitMs, reason: RefusalReason.OwnerLimited };
+  }
+
   /** Draws whether an overloaded server gets a request. */
   #isAdmitted(server: string, nowMs: number): boolean {
     const share = this.#cluster.getAdmissionShare(server, nowMs);
     return share === 1 || Math.random() < share;
   }
 
+  #makeCandidate(entry: ServerEntry, nowMs: number): Candidate {
+    const stats = this.#stats.get(entry.id);
+    const requestsPerSecond = this.#stats.notices.getLimit(entry.id);
+    if (requestsPerSecond === undefined) return { entry, stats };
+    const hasPermit = this.#permits.isAllowed(entry.id, nowMs);
+    return { entry, stats, limit: { requestsPerSecond, hasPermit } };
+  }
+
+  /** Asks for permits for servers with a limit: all, or this router's share. */
+  #requestPermits(
+    candidates: readonly Candidate[],
+    { isNeeded, nowMs }: { isNeeded: boolean; nowMs: number },
+  ): void {
+    for (const { entry: { id }, limit } of candidates) {
+      if (!limit || limit.hasPermit) continue;
+      if (isNeeded) this.#permits.request(id, { waiting: 1, nowMs });
+      else this.#permits.requestShare(id, nowMs);
+    }
+  }
+
   #attemptAny(
     call: ClientCall,
     service: ServiceSpec,
@@ -281,8 +342,9 @@
     const entries = this.#cluster.servers.listReady(service.name);
     if (entries.length === 0) return refuse(RefusalReason.NoServer);
     const serviceMs = this.#stats.computeMeanServiceMs(entries);
-    const candidates = entries
-      .map((entry) => ({ entry, stats: this.#stats.get(entry.id) }));
+    const candidates = entries.map((entry) =>
+      this.#makeCandidate(entry, nowMs)
+    );
     const { best, heard, limit } = chooseServer(candidates, {
       nowMs,
       zone: this.#zone,
@@ -292,6 +354,8 @@
       assumedMs: serviceMs,
       random: Math.random,
     });
+    const isNeeded = best === undefined;
+    this.#requestPermits(candidates, { isNeeded, nowMs });
     if (heard === 0) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
     }
--- a/packages/gateway/src/traffic_stats.ts
+++ b/packages/gateway/src/traffic_stats.ts
@@ -1,5 +1,9 @@
 /** This router's statistics of servers and keys. @module */
-import { CrashDetector, ServerStats } from "@jaytiller/placement";
+import {
+  CrashDetector,
+  ServerNotices,
+  ServerStats,
+} from "@jaytiller/placement";
 import type { ServerEntry } from "@jaytiller/routing";
 
 /** Service time assumed until a server of the service is measured, ms. */
@@ -20,6 +24,7 @@
   readonly #servers = new Map<string, ServerStats>();
   readonly #keys = new Map<string, Map<number, number>>();
   readonly crashes = new CrashDetector();
+  readonly notices = new ServerNotices();
 
   get(id: string): ServerStats {
     const known = this.#servers.get(id);
--- a/packages/gateway/test/member_link_test.ts
+++ b/packages/gateway/test/member_link_test.ts
@@ -104,6 +104,7 @@
     nowMs: performance.now(),
     overloaded: [],
     barred: [],
+    notices: [],
   });
   await link.send(makeContext(195));
   assert.equal(getBeat().servers?.items.length, SERVERS);
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -69,6 +69,13 @@
   return { verdict: Verdict.Refuse, retryAfterMs: computeRetryAfter(waitMs) };
 }
 
+/** Returns the longest time that a request may wait for a server, ms. */
+export function computeMaxWait(
+  { leftMs, targetMs }: { leftMs: number; targetMs: number },
+): number {
+  return MAX_WAIT_SHARE * Math.min(leftMs, targetMs);
+}
+
 /**
  * Returns the share of the requests for an overloaded server that routers send
  * to it. The others are refused at once: a server that is asked for many times
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -8,6 +8,8 @@
 export * from "./poison_requests.js";
 export * from "./retry_budget.js";
 export * from "./server_choice.js";
+export * from "./permits.js";
 export * from "./server_notice.js";
+export * from "./server_notices.js";
 export * from "./server_stats.js";
 export * from "./wait_queue.js";
--- a/packages/placement/src/server_choice.ts
+++ b/packages/placement/src/server_choice.ts
@@ -16,6 +16,16 @@
 export interface Candidate {
   readonly entry: ServerEntry;
   readonly stats: ServerStats;
+  /** Present if the server names a limit. */
+  readonly limit?: CandidateLimit;
+}
+
+/** The limit that a server names, and this router's part in it. */
+export interface CandidateLimit {
+  /** Requests per second from all routers together. */
+  readonly requestsPerSecond: number;
+  /** Whether this router has a permit for a request. */
+  readonly hasPermit: boolean;
 }
 
 /** The request to place, and the location of the router. */
@@ -70,12 +80,10 @@
   for (const candidate of candidates) {
     if (candidate.stats.isUnreachable(context.nowMs)) continue;
     heard += 1;
-    limit += candidate.stats.getLimit(
-      context.nowMs,
-      computeServerShare(candidate, context),
-    );
+    limit += computeLimit(candidate, context);
     if (!isAvailable(candidate, context)) continue;
-    const cost = estimateCost(candidate, context);
+    // A permit lapses, and its request shows whether the limit has ended.
+    const cost = candidate.limit ? 0 : estimateCost(candidate, context);
     if (cost < leastCost) [best, leastCost] = [candidate, cost];
   }
   return { ...(best ? { best } : {}), heard, limit };
@@ -84,7 +92,22 @@
 function isAvailable(candidate: Candidate, context: ChoiceContext): boolean {
   const { entry, stats } = candidate;
   const share = computeServerShare(candidate, context);
-  return stats.hasRoom(context.nowMs, share) && !context.tried.has(entry.id);
+  return stats.hasRoom(context.nowMs, share) && !context.tried.has(entry.id) &&
+    candidate.limit?.hasPermit !== false;
+}
+
+/** Computes the requests that this router may have in flight at a server. */
+function computeLimit(candidate: Candidate, context: ChoiceContext): number {
+  const { stats, limit } = candidate;
+  const { nowMs, assumedMs, routers } = context;
+  const inFlight = stats.getLimit(
+    nowMs,
+    computeServerShare(candidate, context),
+  );
+  if (!limit) return inFlight;
+  // By Little's law, as many are in flight as begin in the time of one.
+  const perSecond = limit.requestsPerSecond / Math.max(1, routers);
+  return Math.min(inFlight, perSecond * assumedMs / 1000);
 }
 
 function computeServerShare(
--- /dev/null
+++ b/packages/placement/test/server_notices_test.ts
@@ -0,0 +1,136 @@
+/** The newest word of a server counts, whoever heard it. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type NoticeReport, ServerNotices } from "../src/mod.js";
+
+const SERVER = { id: "i-1", born: 5 };
+const LIMIT = { requestsPerSecond: 2, isLeaving: false };
+const NO_LIMIT = { isLeaving: false };
+
+interface NoticeCase {
+  readonly title: string;
+  readonly run: (notices: ServerNotices) => void;
+  readonly limit: number | undefined;
+}
+
+const CASES: readonly NoticeCase[] = [
+  {
+    title: "a server without a word has no limit",
+    run: (notices) => notices.record(SERVER, NO_LIMIT, 0),
+    limit: undefined,
+  },
+  {
+    title: "a limit lasts until an answer comes",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.retain(() => SERVER.born, 300_000);
+    },
+    limit: 2,
+  },
+  {
+    title: "a response without a limit ends it",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.record(SERVER, NO_LIMIT, 100);
+    },
+    limit: undefined,
+  },
+  {
+    title: "a later report ends it",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.merge([{ server: "i-1", born: 5, ageMs: 20 }], 100);
+    },
+    limit: undefined,
+  },
+  {
+    title: "an older report does not end it",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 100);
+      notices.merge([{ server: "i-1", born: 5, ageMs: 80 }], 150);
+    },
+    limit: 2,
+  },
+  {
+    title: "a late response of an earlier process does not count",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.record({ ...SERVER, born: 4 }, NO_LIMIT, 100);
+    },
+    limit: 2,
+  },
+  {
+    title: "a restart ends it",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.retain(() => 6, 100);
+    },
+    limit: undefined,
+  },
+  {
+    title: "a server whose entry is missing for a while keeps it",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.retain(() => undefined, 10_000);
+    },
+    limit: 2,
+  },
+  {
+    title: "a server that is gone is forgotten",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 0);
+      notices.retain(() => undefined, 100_000);
+    },
+    limit: undefined,
+  },
+];
+
+for (const { title, run, limit } of CASES) {
+  test(`limits of servers: ${title}`, () => {
+    const notices = new ServerNotices();
+    run(notices);
+    assert.equal(notices.getLimit("i-1"), limit);
+  });
+}
+
+const REPORT: fc.Arbitrary<NoticeReport> = fc.record({
+  server: fc.constant("i-1"),
+  born: fc.integer({ min: 1, max: 3 }),
+  requestsPerSecond: fc.integer({ min: 1, max: 9 }),
+  ageMs: fc.integer({ min: 0, max: 5_000 }),
+});
+
+test("order, repeats and age of reports do not matter", () => {
+  fc.assert(fc.property(
+    fc.uniqueArray(REPORT, {
+      selector: (r) => `${r.born} ${r.ageMs}`,
+      maxLength: 12,
+    }),
+    fc.infiniteStream(fc.nat()),
+    (reports, order) => {
+      const inOrder = new ServerNotices();
+      inOrder.merge(reports, 0);
+      const shuffled = [...reports, ...reports]
+        .map((report) => ({ report, at: order.next().value }))
+        .sort((a, b) => a.at - b.at)
+        .map(({ report }) => report);
+      const inDisorder = new ServerNotices();
+      for (const report of shuffled) inDisorder.merge([report], 0);
+      assert.equal(inDisorder.getLimit("i-1"), inOrder.getLimit("i-1"));
+    },
+  ));
+});
+
+test("a router reports what it has heard itself, once", () => {
+  const notices = new ServerNotices();
+  notices.merge(
+    [{ server: "i-2", born: 1, requestsPerSecond: 3, ageMs: 0 }],
+    0,
+  );
+  notices.record(SERVER, LIMIT, 100);
+  const report = { server: "i-1", born: 5, requestsPerSecond: 2, ageMs: 50 };
+  assert.deepEqual(notices.takeReports(150), [report]);
+  assert.deepEqual(notices.takeReports(200), []);
+  assert.equal(notices.listReports(200).length, 2);
+});
