gateway: Send nothing more to servers that say that they leave

Cause: a server that leaves says so in all its responses, also while it cannot report it to the store, and no code knew the word: requests reached it later than the drain time after a router had passed such a response on (DRAIN). Change: the word is kept with the server's notices, travels with heartbeats, and lasts as long as the process. Other servers are preferred at once, keys move as from a draining server, and after half of the drain time no request is sent.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -255,11 +255,16 @@
     if (!metadata || answer?.status === MISDIRECTED_STATUS) return;
     const { notice } = metadata;
     const { stats, log } = this.#options;
-    if (!stats.notices.record(server, notice, performance.now())) return;
-    log.record("serverLimit", {
-      server: server.id,
-      requestsPerSecond: notice.requestsPerSecond,
-    });
+    const { isLimitChanged, isLeavingNew } = stats.notices.record(
+      server,
+      notice,
+      performance.now(),
+    );
+    const { requestsPerSecond } = notice;
+    if (isLimitChanged) {
+      log.record("serverLimit", { server: server.id, requestsPerSecond });
+    }
+    if (isLeavingNew) log.record("serverLeaving", { server: server.id });
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,8 @@
 /** Longest delay of the first readiness while keys have no owners, ms. */
 const MAX_OWNERS_WAIT_MS = 4_000;
 const STOP_TIMEOUT_MS = 3_000;
+/** Part of the drain time for which only a leaving server's keys use it. */
+const LEAVING_USE_SHARE = 0.5;
 
 /** A running gateway. */
 export class Gateway {
@@ -120,6 +122,7 @@
       zone: settings.zone,
       countRouters,
       permits: this.#permits,
+      getLeavingUseMs: () => LEAVING_USE_SHARE * options.settings().drainMs,
     });
     this.#dispatcher = new Dispatcher({
       settings: options.settings,
--- a/packages/gateway/src/load_reports.ts
+++ b/packages/gateway/src/load_reports.ts
@@ -4,6 +4,7 @@
   type OverloadedServer,
   type PlanContext,
 } from "@jaytiller/ranges";
+import type { ServerView } from "@jaytiller/routing";
 import {
   computeAdmissionShare,
   PoisonRequestTracker,
@@ -65,15 +66,25 @@
     service: string,
     options: { nowMs: number; balance: boolean; isSettling: boolean },
   ): PlanContext {
-    const view = this.#cluster.servers;
     return {
       ...options,
-      view,
+      view: this.#makeView(),
       load: this.#estimator.getLoad(service),
       getCapacity: this.#makeCapacityLookup(service),
     };
   }
 
+  /** The view of servers, in which those that say so are leaving. */
+  #makeView(): ServerView {
+    const { servers } = this.#cluster;
+    const { notices } = this.#stats;
+    const leaving = notices.listLeaving().filter((id) => {
+      const entry = servers.find(id);
+      return entry && notices.isLeaving(entry);
+    });
+    return leaving.length === 0 ? servers : servers.markDraining(leaving);
+  }
+
   /** A server's capacity is what it can run, or the limit that it names. */
   #makeCapacityLookup(service: string): (id: string) => number {
     const { notices } = this.#stats;
--- a/packages/gateway/src/peer_decoding.ts
+++ b/packages/gateway/src/peer_decoding.ts
@@ -155,6 +155,7 @@
     readInteger(notice["born"], "notices.born");
     readNumber(notice["ageMs"], "notices.ageMs");
     readNumber(notice["requestsPerSecond"] ?? 0, "notices.requestsPerSecond");
+    readNumber(notice["leavingMs"] ?? 0, "notices.leavingMs");
   }
 }
 
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -90,6 +90,8 @@
   readonly zone: string;
   /** Returns the number of routers that share the servers. */
   readonly countRouters: () => number;
+  /** Returns how long a server that says that it leaves is still used, ms. */
+  readonly getLeavingUseMs: () => number;
   /** Permits for servers that name a limit. */
   readonly permits: PermitClient;
 }
@@ -101,6 +103,7 @@
   readonly #zone: string;
   readonly #countRouters: () => number;
   readonly #permits: PermitClient;
+  readonly #getLeavingUseMs: () => number;
   readonly #queue = WaitQueue.create({ capacity: MAX_WAITING });
   #timer: NodeJS.Timeout | undefined;
 
@@ -114,6 +117,7 @@
     this.#zone = options.zone;
     this.#countRouters = options.countRouters;
     this.#permits = options.permits;
+    this.#getLeavingUseMs = options.getLeavingUseMs;
     cluster.onChange(() => this.advance());
   }
 
@@ -245,7 +249,7 @@
     const server = id === undefined
       ? undefined
       : this.#cluster.servers.find(id);
-    if (!server || server.state !== ServerState.Ready) {
+    if (!server || !this.#isUsable(server, nowMs)) {
       const waitMs = Math.min(MAX_MOVE_WAIT_MS, MOVE_WAIT_SHARE * leftMs);
       return { resource: "moving", waitMs, reason: RefusalReason.KeyMoving };
     }
@@ -307,6 +311,22 @@
       : { resource, waitMs, reason: RefusalReason.OwnerLimited };
   }
 
+  /** Returns whether a server may get requests that only it can run. */
+  #isUsable(server: ServerEntry, nowMs: number): boolean {
+    const leavingMs = this.#stats.notices.getLeavingMs(server, nowMs);
+    return server.state === ServerState.Ready &&
+      (leavingMs ?? 0) <= this.#getLeavingUseMs();
+  }
+
+  /** Lists the servers of a service for new requests, if possible none leaving. */
+  #listUsable(service: string, nowMs: number): readonly ServerEntry[] {
+    const usable = this.#cluster.servers.listReady(service)
+      .filter((entry) => this.#isUsable(entry, nowMs));
+    const { notices } = this.#stats;
+    const staying = usable.filter((entry) => !notices.isLeaving(entry));
+    return staying.length > 0 ? staying : usable;
+  }
+
   /** Draws whether an overloaded server gets a request. */
   #isAdmitted(server: string, nowMs: number): boolean {
     const share = this.#cluster.getAdmissionShare(server, nowMs);
@@ -339,7 +359,7 @@
     options: AttemptOptions,
   ): Attempt {
     const { nowMs } = options;
-    const entries = this.#cluster.servers.listReady(service.name);
+    const entries = this.#listUsable(service.name, nowMs);
     if (entries.length === 0) return refuse(RefusalReason.NoServer);
     const serviceMs = this.#stats.computeMeanServiceMs(entries);
     const candidates = entries.map((entry) =>
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -34,6 +34,8 @@
   readonly serverHeartbeatMs: number;
   /** Time within which a confirmed configuration has to be in force, ms. */
   readonly configurationApplyMs: number;
+  /** Time for which a server that leaves may still get requests, ms. */
+  readonly drainMs: number;
   /** Time from SIGTERM to SIGKILL, ms. */
   readonly stopMs: number;
 }
--- a/packages/placement/src/server_notices.ts
+++ b/packages/placement/src/server_notices.ts
@@ -2,9 +2,10 @@
  * What servers have said about themselves, and how old it is.
  *
  * Load pattern: a server in need names the requests per second that it takes
- * from all routers together, for as long as it says so. Each router hears some
- * of its responses only, so routers exchange what they heard; the newest word
- * counts.
+ * from all routers together, for as long as it says so. A server that leaves
+ * says so until its process ends, also while it cannot reach the store. Each
+ * router hears some of its responses only, so routers exchange what they heard;
+ * the newest word counts.
  * @module
  */
 import type { ServerNotice } from "./server_notice.js";
@@ -24,6 +25,8 @@
   readonly requestsPerSecond?: number;
   /** Time since the response that said so, ms. */
   readonly ageMs: number;
+  /** Time since it first said that it leaves, ms; absent if it has not. */
+  readonly leavingMs?: number;
 }
 
 /** Time for which the end of a limit is reported, ms. */
@@ -35,38 +38,52 @@
   readonly born: number;
   readonly requestsPerSecond: number | undefined;
   readonly atMs: number;
+  /** Time at which the server first said that it leaves, ms. */
+  readonly leavingSinceMs: number | undefined;
   /** Whether this router heard it itself and has not reported it yet. */
   readonly isUnreported: boolean;
 }
 
-/** The newest word of each server that has a limit, or had one recently. */
+/** What a response of a server has changed. */
+export interface NoticeChange {
+  readonly isLimitChanged: boolean;
+  readonly isLeavingNew: boolean;
+}
+
+/** The newest word of each server that has a limit, had one, or leaves. */
 export class ServerNotices {
   readonly #words = new Map<string, Word>();
 
-  /**
-   * Records a response of a server; returns whether its limit has changed. A
-   * response without a limit ends the limit.
-   */
-  record(server: NoticingServer, notice: ServerNotice, nowMs: number): boolean {
+  /** Records a response of a server. One without a limit ends the limit. */
+  record(
+    server: NoticingServer,
+    notice: ServerNotice,
+    nowMs: number,
+  ): NoticeChange {
     const { id, born } = server;
-    const { requestsPerSecond } = notice;
+    const { requestsPerSecond, isLeaving } = notice;
     const known = this.#words.get(id);
-    if (!known && requestsPerSecond === undefined) return false;
-    if (known && known.born > born) return false;
-    const word = { born, requestsPerSecond, atMs: nowMs, isUnreported: true };
-    this.#words.set(id, word);
-    return known?.requestsPerSecond !== requestsPerSecond;
+    const isSilent = requestsPerSecond === undefined && !isLeaving;
+    if (!known && isSilent || known && known.born > born) return NO_CHANGE;
+    const earlier = known?.born === born ? known : undefined;
+    const leavingSinceMs = earlier?.leavingSinceMs ??
+      (isLeaving ? nowMs : undefined);
+    const word = { born, requestsPerSecond, leavingSinceMs, atMs: nowMs };
+    this.#words.set(id, { ...word, isUnreported: true });
+    return {
+      isLimitChanged: earlier?.requestsPerSecond !== requestsPerSecond,
+      isLeavingNew: earlier?.leavingSinceMs !== leavingSinceMs,
+    };
   }
 
   /** Adds what other routers report, as far as it is newer. */
   merge(reports: readonly NoticeReport[], nowMs: number): void {
-    for (const { server, born, requestsPerSecond, ageMs } of reports) {
-      const atMs = nowMs - ageMs;
-      const known = this.#words.get(server);
-      if (known && !isNewer({ born, atMs }, known)) continue;
-      if (!known && requestsPerSecond === undefined) continue;
-      const word = { born, requestsPerSecond, atMs, isUnreported: false };
-      this.#words.set(server, word);
+    for (const report of reports) {
+      const known = this.#words.get(report.server);
+      const word = mergeWords(known, makeWord(report, nowMs));
+      const isEmpty = word.requestsPerSecond === undefined &&
+        word.leavingSinceMs === undefined;
+      if (known || !isEmpty) this.#words.set(report.server, word);
     }
   }
 
@@ -75,6 +92,28 @@
     return this.#words.get(server)?.requestsPerSecond;
   }
 
+  /**
+   * Returns how long ago a server first said that it leaves, ms, or `undefined`
+   * if it has not.
+   */
+  getLeavingMs(server: NoticingServer, nowMs: number): number | undefined {
+    const word = this.#words.get(server.id);
+    return word?.leavingSinceMs === undefined || word.born !== server.born
+      ? undefined
+      : nowMs - word.leavingSinceMs;
+  }
+
+  isLeaving(server: NoticingServer): boolean {
+    return this.getLeavingMs(server, 0) !== undefined;
+  }
+
+  /** Lists the ids of all servers that leave. */
+  listLeaving(): readonly string[] {
+    return [...this.#words]
+      .filter(([, word]) => word.leavingSinceMs !== undefined)
+      .map(([id]) => id);
+  }
+
   /** Returns what this router has heard itself since the last call. */
   takeReports(nowMs: number): readonly NoticeReport[] {
     const reports: NoticeReport[] = [];
@@ -86,11 +125,12 @@
     return reports;
   }
 
-  /** Lists all limits, and those that ended recently. */
+  /** Lists the servers that leave, all limits, and those that ended recently. */
   listReports(nowMs: number): readonly NoticeReport[] {
     return [...this.#words]
       .filter(([, word]) =>
         word.requestsPerSecond !== undefined ||
+        word.leavingSinceMs !== undefined ||
         nowMs - word.atMs < ENDED_LIMIT_REPORT_MS
       )
       .map(([server, word]) => makeReport(server, word, nowMs));
@@ -110,19 +150,44 @@
   }
 }
 
-function isNewer(
-  a: { born: number; atMs: number },
-  b: { born: number; atMs: number },
-): boolean {
-  return a.born > b.born || a.born === b.born && a.atMs > b.atMs;
+const NO_CHANGE: NoticeChange = { isLimitChanged: false, isLeavingNew: false };
+
+/** Returns the newer word, and the earlier time at which a process leaves. */
+function mergeWords(known: Word | undefined, reported: Word): Word {
+  if (!known || reported.born > known.born) return reported;
+  if (reported.born < known.born) return known;
+  const newer = reported.atMs > known.atMs ? reported : known;
+  const leavingSinceMs = Math.min(
+    known.leavingSinceMs ?? Infinity,
+    reported.leavingSinceMs ?? Infinity,
+  );
+  return {
+    ...newer,
+    leavingSinceMs: leavingSinceMs === Infinity ? undefined : leavingSinceMs,
+  };
+}
+
+function makeWord(report: NoticeReport, nowMs: number): Word {
+  const { born, requestsPerSecond, ageMs, leavingMs } = report;
+  return {
+    born,
+    requestsPerSecond,
+    atMs: nowMs - ageMs,
+    leavingSinceMs: leavingMs === undefined ? undefined : nowMs - leavingMs,
+    isUnreported: false,
+  };
 }
 
 function makeReport(server: string, word: Word, nowMs: number): NoticeReport {
-  const { born, requestsPerSecond, atMs } = word;
+  const { born, requestsPerSecond, atMs, leavingSinceMs } = word;
+  const computeAge = (ms: number) => Math.max(0, Math.round(nowMs - ms));
   return {
     server,
     born,
     ...(requestsPerSecond === undefined ? {} : { requestsPerSecond }),
-    ageMs: Math.max(0, Math.round(nowMs - atMs)),
+    ageMs: computeAge(atMs),
+    ...(leavingSinceMs === undefined
+      ? {}
+      : { leavingMs: computeAge(leavingSinceMs) }),
   };
 }
--- a/packages/placement/test/server_notices_test.ts
+++ b/packages/placement/test/server_notices_test.ts
@@ -99,8 +99,69 @@
   born: fc.integer({ min: 1, max: 3 }),
   requestsPerSecond: fc.integer({ min: 1, max: 9 }),
   ageMs: fc.integer({ min: 0, max: 5_000 }),
+  leavingMs: fc.integer({ min: 0, max: 5_000 }),
 });
 
+interface LeavingCase {
+  readonly title: string;
+  readonly run: (notices: ServerNotices) => void;
+  /** Time for which the server has been leaving at 1,000 ms. */
+  readonly leavingMs: number | undefined;
+}
+
+const LEAVING = { isLeaving: true };
+const LEAVING_CASES: readonly LeavingCase[] = [
+  {
+    title: "a word lasts, also after a response without it",
+    run: (notices) => {
+      notices.record(SERVER, LEAVING, 0);
+      notices.record(SERVER, NO_LIMIT, 500);
+    },
+    leavingMs: 1_000,
+  },
+  {
+    title: "the earliest word counts",
+    run: (notices) => {
+      notices.record(SERVER, LEAVING, 500);
+      notices.merge([
+        { server: "i-1", born: 5, ageMs: 100, leavingMs: 300 },
+      ], 600);
+    },
+    leavingMs: 700,
+  },
+  {
+    title: "an older report of it counts beside a newer limit",
+    run: (notices) => {
+      notices.record(SERVER, LIMIT, 500);
+      notices.merge([
+        { server: "i-1", born: 5, ageMs: 300, leavingMs: 300 },
+      ], 600);
+    },
+    leavingMs: 700,
+  },
+  {
+    title: "a new process under the same id does not leave",
+    run: (notices) => notices.record({ ...SERVER, born: 4 }, LEAVING, 0),
+    leavingMs: undefined,
+  },
+  {
+    title: "it outlasts a missing entry",
+    run: (notices) => {
+      notices.record(SERVER, LEAVING, 0);
+      notices.retain(() => undefined, 900);
+    },
+    leavingMs: 1_000,
+  },
+];
+
+for (const { title, run, leavingMs } of LEAVING_CASES) {
+  test(`servers that leave: ${title}`, () => {
+    const notices = new ServerNotices();
+    run(notices);
+    assert.equal(notices.getLeavingMs(SERVER, 1_000), leavingMs);
+  });
+}
+
 test("order, repeats and age of reports do not matter", () => {
   fc.assert(fc.property(
     fc.uniqueArray(REPORT, {
@@ -117,7 +178,7 @@
         .map(({ report }) => report);
       const inDisorder = new ServerNotices();
       for (const report of shuffled) inDisorder.merge([report], 0);
-      assert.equal(inDisorder.getLimit("i-1"), inOrder.getLimit("i-1"));
+      assert.deepEqual(inDisorder.listReports(0), inOrder.listReports(0));
     },
   ));
 });
--- a/packages/routing/src/server_view.ts
+++ b/packages/routing/src/server_view.ts
@@ -71,6 +71,16 @@
       : new ServerView(this.#entries, position);
   }
 
+  /** Returns a view in which the servers accept no new requests. */
+  markDraining(ids: readonly string[]): ServerView {
+    const entries = new Map(this.#entries);
+    for (const id of ids) {
+      const entry = entries.get(id);
+      if (entry) entries.set(id, { ...entry, state: ServerState.Draining });
+    }
+    return new ServerView(entries, this.position);
+  }
+
   find(id: string): ServerEntry | undefined {
     return this.#entries.get(id);
   }
