gateway: Keep to the pause that a server asks for with a rejection

Change: the pause binds the router to its end. Other servers get the requests; those that only this server can run are refused at once, with Retry-After, unless the pause ends in time.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -2,7 +2,11 @@
 import { createHash } from "node:crypto";
 import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import { type EventLog, EventPriority } from "@jaytiller/kernel";
-import { ExchangeOutcome, RetryBudget } from "@jaytiller/placement";
+import {
+  ExchangeOutcome,
+  RetryBudget,
+  type ServerNotice,
+} from "@jaytiller/placement";
 import {
   RequestKind,
   type Route,
@@ -265,6 +269,20 @@
       log.record("serverLimit", { server: server.id, requestsPerSecond });
     }
     if (isLeavingNew) log.record("serverLeaving", { server: server.id });
+    this.#recordPause(server, { status: answer?.status, notice });
+  }
+
+  #recordPause(
+    server: ServerEntry,
+    { status, notice }: { status: number | undefined; notice: ServerNotice },
+  ): void {
+    const { pauseMs = 0 } = notice;
+    if (status !== RouterStatus.Refused || pauseMs === 0) return;
+    const { stats, log } = this.#options;
+    const nowMs = performance.now();
+    const isPaused = stats.notices.getPauseMs(server, nowMs) > 0;
+    stats.notices.recordPause(server, { pauseMs, nowMs });
+    if (!isPaused) log.record("serverPause", { server: server.id, pauseMs });
   }
 
   /**
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -28,6 +28,8 @@
   Overloaded = "overloaded",
   /** The owner gets only a share of the requests for its keys. */
   OwnerOverloaded = "ownerOverloaded",
+  /** The owner, or every server, has asked this router for a pause. */
+  Paused = "paused",
   /** The owner names a limit that is used up. */
   OwnerLimited = "ownerLimited",
   /** No ready server owns the key, for example while the key moves. */
@@ -253,6 +255,12 @@
       const waitMs = Math.min(MAX_MOVE_WAIT_MS, MOVE_WAIT_SHARE * leftMs);
       return { resource: "moving", waitMs, reason: RefusalReason.KeyMoving };
     }
+    const pause = this.#attemptPaused(call, {
+      entries: [server],
+      resource: `server/${server.id}`,
+      nowMs,
+    });
+    if (pause) return pause;
     const stats = this.#stats.get(server.id);
     if (stats.isUnreachable(nowMs)) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
@@ -286,6 +294,30 @@
     return makeAttempt(admission, { server, resource, leftMs });
   }
 
+  /**
+   * Returns how to go on while all servers want nothing from this router, or
+   * `undefined` if some take requests.
+   */
+  #attemptPaused(
+    call: ClientCall,
+    { entries, resource, nowMs }: {
+      entries: readonly ServerEntry[];
+      resource: string;
+      nowMs: number;
+    },
+  ): Attempt | undefined {
+    const { notices } = this.#stats;
+    const pauseMs = Math.min(
+      ...entries.map((entry) => notices.getPauseMs(entry, nowMs)),
+    );
+    if (pauseMs === 0) return undefined;
+    const leftMs = call.deadlineMs - nowMs;
+    const waitMs = computeMaxWait({ leftMs, targetMs: call.route.targetMs });
+    return pauseMs > waitMs
+      ? refuse(RefusalReason.Paused, computeRetryAfter(pauseMs))
+      : { resource, waitMs, reason: RefusalReason.Paused };
+  }
+
   /**
    * Returns how to go on without a permit for a server that names a limit, or
    * `undefined` if there is one, or none is needed.
@@ -361,10 +393,13 @@
     const { nowMs } = options;
     const entries = this.#listUsable(service.name, nowMs);
     if (entries.length === 0) return refuse(RefusalReason.NoServer);
+    const resource = `service/${service.name}`;
+    const pause = this.#attemptPaused(call, { entries, resource, nowMs });
+    if (pause) return pause;
     const serviceMs = this.#stats.computeMeanServiceMs(entries);
-    const candidates = entries.map((entry) =>
-      this.#makeCandidate(entry, nowMs)
-    );
+    const candidates = entries
+      .filter((entry) => this.#stats.notices.getPauseMs(entry, nowMs) === 0)
+      .map((entry) => this.#makeCandidate(entry, nowMs));
     const { best, heard, limit } = chooseServer(candidates, {
       nowMs,
       zone: this.#zone,
@@ -379,7 +414,6 @@
     if (heard === 0) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
     }
-    const resource = `service/${service.name}`;
     const leftMs = call.deadlineMs - nowMs;
     const admission = decideAdmission({
       hasCapacity: best !== undefined,
--- a/packages/placement/src/server_notices.ts
+++ b/packages/placement/src/server_notices.ts
@@ -44,6 +44,12 @@
   readonly isUnreported: boolean;
 }
 
+/** A pause that a server has asked this router for. */
+interface Pause {
+  readonly born: number;
+  readonly endMs: number;
+}
+
 /** What a response of a server has changed. */
 export interface NoticeChange {
   readonly isLimitChanged: boolean;
@@ -53,6 +59,7 @@
 /** The newest word of each server that has a limit, had one, or leaves. */
 export class ServerNotices {
   readonly #words = new Map<string, Word>();
+  readonly #pauses = new Map<string, Pause>();
 
   /** Records a response of a server. One without a limit ends the limit. */
   record(
@@ -76,6 +83,23 @@
     };
   }
 
+  /** Records that a server wants nothing from this router for `pauseMs`. */
+  recordPause(
+    { id, born }: NoticingServer,
+    { pauseMs, nowMs }: { pauseMs: number; nowMs: number },
+  ): void {
+    const known = this.#pauses.get(id);
+    const knownEndMs = known?.born === born ? known.endMs : -Infinity;
+    const endMs = Math.max(knownEndMs, nowMs + pauseMs);
+    this.#pauses.set(id, { born, endMs });
+  }
+
+  /** Returns how long a server still wants nothing from this router, ms. */
+  getPauseMs({ id, born }: NoticingServer, nowMs: number): number {
+    const pause = this.#pauses.get(id);
+    return pause?.born === born ? Math.max(0, pause.endMs - nowMs) : 0;
+  }
+
   /** Adds what other routers report, as far as it is newer. */
   merge(reports: readonly NoticeReport[], nowMs: number): void {
     for (const report of reports) {
@@ -147,6 +171,9 @@
       const isOld = nowMs - word.atMs > MAX_UNKNOWN_AGE_MS;
       if (isReplaced || born === undefined && isOld) this.#words.delete(id);
     }
+    for (const [id, { endMs }] of this.#pauses) {
+      if (endMs < nowMs) this.#pauses.delete(id);
+    }
   }
 }
 
--- a/packages/placement/test/server_notices_test.ts
+++ b/packages/placement/test/server_notices_test.ts
@@ -162,6 +162,52 @@
   });
 }
 
+interface PauseCase {
+  readonly title: string;
+  readonly run: (notices: ServerNotices) => void;
+  /** Rest of the pause at 1,000 ms. */
+  readonly pauseMs: number;
+}
+
+const PAUSE_CASES: readonly PauseCase[] = [
+  { title: "none", run: () => {}, pauseMs: 0 },
+  {
+    title: "it ends",
+    run: (n) => n.recordPause(SERVER, { pauseMs: 900, nowMs: 0 }),
+    pauseMs: 0,
+  },
+  {
+    title: "a shorter one does not end a longer one",
+    run: (n) => {
+      n.recordPause(SERVER, { pauseMs: 3_000, nowMs: 0 });
+      n.recordPause(SERVER, { pauseMs: 100, nowMs: 900 });
+    },
+    pauseMs: 2_000,
+  },
+  {
+    title: "a response does not end it",
+    run: (n) => {
+      n.recordPause(SERVER, { pauseMs: 3_000, nowMs: 0 });
+      n.record(SERVER, NO_LIMIT, 500);
+    },
+    pauseMs: 2_000,
+  },
+  {
+    title: "that of an earlier process",
+    run: (n) =>
+      n.recordPause({ ...SERVER, born: 4 }, { pauseMs: 3_000, nowMs: 0 }),
+    pauseMs: 0,
+  },
+];
+
+for (const { title, run, pauseMs } of PAUSE_CASES) {
+  test(`pauses of servers: ${title}`, () => {
+    const notices = new ServerNotices();
+    run(notices);
+    assert.equal(notices.getPauseMs(SERVER, 1_000), pauseMs);
+  });
+}
+
 test("order, repeats and age of reports do not matter", () => {
   fc.assert(fc.property(
     fc.uniqueArray(REPORT, {
