platform: Decode server entries with ports and numbers out of range as invalid

Report of another operator: one odd entry among those of the servers ended the machines that read the list again and again. Cause: an address was checked for its form, not for its port. Connecting to port 70000 throws at once; in the coordinator's lease calls nothing catches that, so the process ends, and its successor reads the same entry. Sequence numbers and start times above 2^53, and any number of slots, passed as well. Deeply nested values were refused before: tested.

--- a/packages/gateway/src/peer_decoding.ts
+++ b/packages/gateway/src/peer_decoding.ts
@@ -5,6 +5,7 @@
  */
 import {
   FieldError,
+  readAddress,
   readArray,
   readBoolean,
   readInteger,
@@ -23,7 +24,6 @@
   SilenceReply,
 } from "./peer_messages.js";
 
-const ADDRESS_PATTERN = /^[^:\s]+:\d{1,5}$/;
 const STATES: ReadonlySet<unknown> = new Set(Object.values(ServerState));
 
 /** Checks a reference to a router. Throws a `FieldError`. */
@@ -33,10 +33,7 @@
     readString(router[name], `${path}.${name}`);
   }
   readNumber(router["cores"], `${path}.cores`);
-  const address = readString(router["address"], `${path}.address`);
-  if (!ADDRESS_PATTERN.test(address)) {
-    throw new FieldError(`${path}.address`, "host:port", address);
-  }
+  readAddress(router["address"], `${path}.address`);
   return value as RouterRef;
 }
 
@@ -186,9 +183,10 @@
   readString(id, `${path}.id`);
   if (entry === undefined) return;
   const server = readObject(entry, `${path}.entry`);
-  for (const name of ["id", "service", "address", "zone"]) {
+  for (const name of ["id", "service", "zone"]) {
     readString(server[name], `${path}.entry.${name}`);
   }
+  readAddress(server["address"], `${path}.entry.address`);
   readNumber(server["slots"], `${path}.entry.slots`);
   if (!STATES.has(server["state"])) {
     throw new FieldError(`${path}.entry.state`, "a state", server["state"]);
--- a/packages/kernel/src/validation.ts
+++ b/packages/kernel/src/validation.ts
@@ -39,12 +39,22 @@
   throw new FieldError(path, "a non-negative number", value);
 }
 
-/** Reads an integer that isn't negative. */
+/** Reads an integer that isn't negative, and can be told from its neighbours. */
 export function readInteger(value: unknown, path: string): number {
-  if (Number.isInteger(value) && Number(value) >= 0) return Number(value);
+  if (Number.isSafeInteger(value) && Number(value) >= 0) return Number(value);
   throw new FieldError(path, "a non-negative integer", value);
 }
 
+const MAX_PORT = 65_535;
+
+/** Reads an address to which connections can be made, `host:port`. */
+export function readAddress(value: unknown, path: string): string {
+  const address = readString(value, path);
+  const port = Number(/^[^:\s]+:(\d{1,5})$/.exec(address)?.[1]);
+  if (port >= 1 && port <= MAX_PORT) return address;
+  throw new FieldError(path, "host:port", address);
+}
+
 /** Reads a boolean; an absent value is `false`. */
 export function readBoolean(value: unknown, path: string): boolean {
   if (value === undefined) return false;
