gateway: Refuse what is sent too late in a planned stop to be answered

Report of another operator: in a planned stop, in calm, requests that came late in the grace were passed on and cut off at its end without an answer, among them requests that may not be repeated. Cause: a request that was complete at 2.9 s of a stop was sent to its server, however long it could take; the process ended while the server was at work. Change: from the time at which clients should have been sent elsewhere, a request whose own deadline lies behind the end of the stop is not sent but refused with 503, to be repeated at once at another gateway. Measured: 'an order that is complete late in the stop is refused, not run' failed before (the connection ended without an answer, the order ran) and passes now; 'early in the stop is run and answered' passed before.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -70,7 +70,7 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #buffers = new ResponseBuffers();
   #open = 0;
-  #isClosing = false;
+  #drain: DrainTimes | undefined;
   #isRefusing = false;
 
   constructor(options: DispatcherOptions) {
@@ -82,9 +82,12 @@
     return this.#open;
   }
 
-  /** Makes all further responses close their connections. */
-  closeConnections(): void {
-    this.#isClosing = true;
+  /**
+   * Makes all further responses close their connections, and sends no request
+   * late in a planned stop that may not have ended before the process does.
+   */
+  beginDrain(times: DrainTimes): void {
+    this.#drain = times;
   }
 
   /** Refuses all further requests because the process is about to exit. */
@@ -94,7 +97,7 @@
 
   /** Whether responses should close their connections. */
   get isClosing(): boolean {
-    return this.#isClosing;
+    return this.#drain !== undefined;
   }
 
   /** Handles one request. */
@@ -187,11 +190,16 @@
     let notBeforeMs = 0;
     while (!call.isAnswered) {
       const size = body.length;
+      if (this.#isTooLate(call)) return this.#refuseStopping(call);
       const placement = await this.#options.placer.findServer(call, {
         body: size,
         notBeforeMs,
       });
       if ("reason" in placement) return this.#refuse(call, placement);
+      if (this.#isTooLate(call)) {
+        this.#release(placement.server);
+        return this.#refuseStopping(call);
+      }
       const result = await this.#exchange(call, placement.server, body);
       this.#recordCrashEvidence(call, {
         server: placement.server,
@@ -211,6 +219,23 @@
     }
   }
 
+  /** Returns whether a request that is sent now may be cut by the stop. */
+  #isTooLate(call: ClientCall): boolean {
+    if (!this.#drain) return false;
+    const { lateMs, endMs } = this.#drain;
+    return performance.now() > lateMs && call.deadlineMs > endMs;
+  }
+
+  /** Ends the reservation of a server to which nothing is sent. */
+  #release(server: ServerEntry): void {
+    const nowMs = performance.now();
+    this.#options.stats.get(server.id).end(ExchangeOutcome.None, { nowMs });
+  }
+
+  #refuseStopping(call: ClientCall): void {
+    this.#refuse(call, { reason: RefusalReason.Stopping, retryAfterMs: 0 });
+  }
+
   async #exchange(
     call: ClientCall,
     server: ServerEntry,
@@ -498,6 +523,14 @@
   readonly pipelined: PipelinedRequest;
 }
 
+/** Times of a planned stop, monotonic, ms. */
+export interface DrainTimes {
+  /** Time from which clients should have been sent elsewhere. */
+  readonly lateMs: number;
+  /** Time at which the open requests are cut off. */
+  readonly endMs: number;
+}
+
 /** A finished exchange with a server. */
 interface CompletedExchange {
   readonly server: ServerEntry;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -78,7 +78,10 @@
    */
   async drain(options: { redirectMs: number; maxMs: number }): Promise<void> {
     const startedAt = performance.now();
-    this.#dispatcher.closeConnections();
+    this.#dispatcher.beginDrain({
+      lateMs: startedAt + options.redirectMs,
+      endMs: startedAt + options.maxMs,
+    });
     await sleep(options.redirectMs);
     this.#server.close();
     const getElapsedMs = () => performance.now() - startedAt;
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -38,6 +38,8 @@
   OwnerSilent = "ownerSilent",
   NoKey = "noKey",
   RoomFull = "roomFull",
+  /** The process stops before the request would have to end. */
+  Stopping = "stopping",
   ClientLeft = "clientLeft",
 }
 
