gateway: Split evidence of exchanges and request lines from the dispatcher

No change of behaviour: what an exchange tells about its server, and the line of a request, move to modules of their own; 600 lines become 454.

--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,12 +1,7 @@
 /** Handles a request: route, server, exchange and response. @module */
-import { createHash } from "node:crypto";
 import type { Agent, IncomingMessage, ServerResponse } from "node:http";
 import { type EventLog, EventPriority } from "@jaytiller/kernel";
-import {
-  ExchangeOutcome,
-  RetryBudget,
-  type ServerNotice,
-} from "@jaytiller/placement";
+import { RetryBudget } from "@jaytiller/placement";
 import {
   RequestKind,
   type Route,
@@ -29,7 +24,9 @@
 import type { RequestMetrics } from "./request_metrics.js";
 import { BodyEnd, readBody } from "./request_body.js";
 import { ResponseBuffers } from "./response_limits.js";
+import { RequestLog } from "./request_log.js";
 import type { ServerAgents } from "./server_agents.js";
+import { computeFingerprint, ServerEvidence } from "./server_evidence.js";
 import type { GatewaySettings } from "./settings.js";
 import type { TrafficStats } from "./traffic_stats.js";
 
@@ -58,8 +55,6 @@
 const STARTING_RETRY_AFTER_MS = 500;
 /** `Retry-After` of a request that crashes servers, ms. */
 const BARRED_RETRY_AFTER_MS = 5_000;
-const FINGERPRINT_LENGTH = 16;
-const MISDIRECTED_STATUS = 421;
 /** Least time until the deadline for which a retry is sent, ms. */
 const MIN_RETRY_TIME_MS = 30;
 
@@ -69,12 +64,19 @@
   readonly #splits = new WeightedRoundRobin();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #buffers = new ResponseBuffers();
+  readonly #evidence: ServerEvidence;
+  readonly #requestLog: RequestLog;
   #open = 0;
   #drain: DrainTimes | undefined;
   #isRefusing = false;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.#evidence = new ServerEvidence(options);
+    this.#requestLog = new RequestLog({
+      ...options,
+      getZone: () => options.settings().zone,
+    });
   }
 
   /** Number of requests that have not been answered. */
@@ -165,22 +167,22 @@
     const { end, body } = await readBody(call.request, maxBodyBytes);
     if (end === BodyEnd.TooLarge) {
       call.answer(RouterStatus.TooLarge);
-      return this.#log(call, "tooLarge");
+      return this.#requestLog.write(call, "tooLarge");
     }
     if (end === BodyEnd.CutShort || call.isAnswered) {
-      return this.#log(call, "bodyCutShort");
+      return this.#requestLog.write(call, "bodyCutShort");
     }
     await call.waitForTurn();
     if (call.isAnswered) return;
-    if (call.hasClientLeft) return this.#log(call, "clientLeft");
+    if (call.hasClientLeft) return this.#requestLog.write(call, "clientLeft");
     if (this.#isRefusing) {
       call.answer(RouterStatus.Refused, REJECTIONS.stopping.retryAfterMs);
-      return this.#log(call, "stopping");
+      return this.#requestLog.write(call, "stopping");
     }
     this.#countRequest(call);
     if (this.#isBarred(call, body)) {
       call.answer(RouterStatus.Refused, BARRED_RETRY_AFTER_MS);
-      return this.#log(call, "crashesServers");
+      return this.#requestLog.write(call, "crashesServers");
     }
     await this.#send(call, body);
   }
@@ -197,25 +199,20 @@
       });
       if ("reason" in placement) return this.#refuse(call, placement);
       if (this.#isTooLate(call)) {
-        this.#release(placement.server);
+        this.#evidence.release(placement.server);
         return this.#refuseStopping(call);
       }
       const result = await this.#exchange(call, placement.server, body);
-      this.#recordCrashEvidence(call, {
-        server: placement.server,
-        body,
-        result,
-      });
       if (result.end === ExchangeEnd.Answered) {
         call.deliver(result.answer!);
-        return this.#log(call, "answered", result);
+        return this.#requestLog.write(call, "answered", result);
       }
       if (NOT_WRITTEN.has(result.end)) unsent += 1;
       if (!this.#isRetryAllowed(call, result.end, unsent)) {
         return this.#fail(call, result);
       }
       notBeforeMs = this.#computeRetryTime(call, result);
-      this.#log(call, "sendAgain", result);
+      this.#requestLog.write(call, "sendAgain", result);
     }
   }
 
@@ -226,12 +223,6 @@
     return performance.now() > lateMs && call.deadlineMs > endMs;
   }
 
-  /** Ends the reservation of a server to which nothing is sent. */
-  #release(server: ServerEntry): void {
-    const nowMs = performance.now();
-    this.#options.stats.get(server.id).end(ExchangeOutcome.None, { nowMs });
-  }
-
   #refuseStopping(call: ClientCall): void {
     this.#refuse(call, { reason: RefusalReason.Stopping, retryAfterMs: 0 });
   }
@@ -241,7 +232,7 @@
     server: ServerEntry,
     body: Buffer,
   ): Promise<ExchangeResult> {
-    const { protocol, stats, placer } = this.#options;
+    const { protocol, placer } = this.#options;
     const leftMs = Math.max(1, Math.floor(call.deadlineMs - performance.now()));
     const isRepeatable = call.route.kind === RequestKind.Idempotent;
     call.onClientLeft = () => call.cancel();
@@ -268,48 +259,11 @@
     call.isSent = false;
     if (!NOT_WRITTEN.has(result.end)) call.triedServers.push(server.id);
     if (MAY_HAVE_RUN.has(result.end)) call.mayHaveRun = true;
-    stats.get(server.id).end(EXCHANGE_SIGNS[result.end](result), {
-      nowMs: performance.now(),
-      latencyMs: result.latencyMs,
-      ...(result.metadata?.load ? { load: result.metadata.load } : {}),
-    });
-    this.#recordNotice(server, result);
+    this.#evidence.record(call, { server, body, result });
     placer.advance();
     return result;
   }
 
-  /** Records what a server says about itself with a response of its own. */
-  #recordNotice(server: ServerEntry, { metadata, answer }: ExchangeResult) {
-    // A 421 may come from another server at the same address.
-    if (!metadata || answer?.status === MISDIRECTED_STATUS) return;
-    const { notice } = metadata;
-    const { stats, log } = this.#options;
-    const { isLimitChanged, isLeavingNew } = stats.notices.record(
-      server,
-      notice,
-      performance.now(),
-    );
-    const { requestsPerSecond } = notice;
-    if (isLimitChanged) {
-      log.record("serverLimit", { server: server.id, requestsPerSecond });
-    }
-    if (isLeavingNew) log.record("serverLeaving", { server: server.id });
-    this.#recordPause(server, { status: answer?.status, notice });
-  }
-
-  #recordPause(
-    server: ServerEntry,
-    { status, notice }: { status: number | undefined; notice: ServerNotice },
-  ): void {
-    const { pauseMs = 0 } = notice;
-    if (status !== RouterStatus.Refused || pauseMs === 0) return;
-    const { stats, log } = this.#options;
-    const nowMs = performance.now();
-    const isPaused = stats.notices.getPauseMs(server, nowMs) > 0;
-    stats.notices.recordPause(server, { pauseMs, nowMs });
-    if (!isPaused) log.record("serverPause", { server: server.id, pauseMs });
-  }
-
   /**
    * A server that got an attempt before may send its earlier response once
    * more, with the id of that attempt. No kept connection is used for it again.
@@ -359,25 +313,6 @@
     return barred.size > 0 && barred.has(computeFingerprint(call, body));
   }
 
-  /** Records evidence on whether the request crashes servers. */
-  #recordCrashEvidence(call: ClientCall, exchange: CompletedExchange): void {
-    const { crashes } = this.#options.stats;
-    const { server, body, result } = exchange;
-    const nowMs = performance.now();
-    if (result.end === ExchangeEnd.NotSent) crashes.markDown(server.id, nowMs);
-    if (result.end === ExchangeEnd.Broken) {
-      crashes.recordBroken({
-        fingerprint: computeFingerprint(call, body),
-        server: server.id,
-        life: `${server.id}/${server.born}`,
-        atMs: nowMs,
-      });
-    }
-    if (result.end === ExchangeEnd.Answered && crashes.hasSuspects) {
-      crashes.markAnswered(computeFingerprint(call, body));
-    }
-  }
-
   /** Returns whether the request may be sent again. */
   #isRetryAllowed(call: ClientCall, end: ExchangeEnd, unsent: number): boolean {
     if (call.isAnswered || call.hasClientLeft) return false;
@@ -405,14 +340,16 @@
   }
 
   #fail(call: ClientCall, result: ExchangeResult): void {
-    if (call.hasClientLeft) return this.#log(call, "clientLeft", result);
+    if (call.hasClientLeft) {
+      return this.#requestLog.write(call, "clientLeft", result);
+    }
     if (call.mayHaveRun) {
       const isLate = result.end === ExchangeEnd.TimedOut;
       call.answer(isLate ? RouterStatus.TimedOut : RouterStatus.Unknown);
-      return this.#log(call, "unknown", result);
+      return this.#requestLog.write(call, "unknown", result);
     }
     call.answer(RouterStatus.Refused, this.#computeRetryAfter(call));
-    this.#log(call, "refused", result);
+    this.#requestLog.write(call, "refused", result);
   }
 
   /** Returns a randomized `Retry-After` for a request that has not run, ms. */
@@ -422,7 +359,7 @@
 
   #refuse(call: ClientCall, refusal: Refusal): void {
     if (refusal.reason === RefusalReason.ClientLeft) {
-      return this.#log(call, "clientLeft");
+      return this.#requestLog.write(call, "clientLeft");
     }
     const isUnknown = call.mayHaveRun;
     const status = refusal.reason === RefusalReason.NoKey
@@ -431,7 +368,7 @@
       ? RouterStatus.Unknown
       : RouterStatus.Refused;
     call.answer(status, isUnknown ? undefined : refusal.retryAfterMs);
-    this.#log(call, refusal.reason);
+    this.#requestLog.write(call, refusal.reason);
   }
 
   /** Answers a request whose deadline has passed. */
@@ -439,7 +376,7 @@
     call.cancel();
     const wasSent = call.mayHaveRun || call.isSent;
     call.answer(wasSent ? RouterStatus.TimedOut : RouterStatus.Refused);
-    this.#log(call, "timedOut");
+    this.#requestLog.write(call, "timedOut");
   }
 
   #countRequest(call: ClientCall): void {
@@ -467,53 +404,6 @@
     const names = new Set(routes.map((r) => r.name));
     this.#options.metrics.retainRoutes((name) => names.has(name));
   }
-
-  /** Returns the zone of the last server if it is not this router's. */
-  #findOtherZone(call: ClientCall): string | undefined {
-    const id = call.triedServers.at(-1);
-    const zone = id && this.#options.cluster.servers.find(id)?.zone;
-    return zone === this.#options.settings().zone ? undefined : zone;
-  }
-
-  #log(call: ClientCall, outcome: string, result?: ExchangeResult): void {
-    const { cluster, log, metrics } = this.#options;
-    const nowMs = performance.now();
-    const labels = { route: call.route.name, service: call.service, outcome };
-    metrics.count(labels, nowMs - call.arrivedMs);
-    const isSuccess = outcome === "answered" && (call.status ?? 500) < 400;
-    log.write("request", {
-      request: call.metadata.attemptId,
-      outcome,
-      status: call.status,
-      route: call.route.name,
-      service: call.service,
-      key: call.metadata.key,
-      servers: call.triedServers.join(","),
-      end: result?.end,
-      problem: result?.problem,
-      unframed: result?.answer?.isUnframed || undefined,
-      serverLimit: result?.metadata?.notice.requestsPerSecond,
-      serverLeaving: result?.metadata?.notice.isLeaving || undefined,
-      serverPauseMs: result?.metadata?.notice.pauseMs,
-      serverZone: this.#findOtherZone(call),
-      ms: Math.round(nowMs - call.arrivedMs),
-      leftMs: Math.round(call.deadlineMs - nowMs),
-      sentMs: computeOffset(call, call.sentAtMs),
-      clientLeftMs: computeOffset(call, call.clientLeftAtMs),
-      version: cluster.routes?.version,
-      configurationAgeMs: cluster.getRoutesAgeMs(nowMs),
-      owners: cluster.ownersVersion,
-      serversAgeMs: Math.round(nowMs - cluster.serversConfirmedAt),
-    }, isSuccess ? EventPriority.Routine : EventPriority.Notable);
-  }
-}
-
-/** Returns the time since the request's arrival at `atMs`, ms. */
-function computeOffset(
-  call: ClientCall,
-  atMs: number | undefined,
-): number | undefined {
-  return atMs === undefined ? undefined : Math.round(atMs - call.arrivedMs);
 }
 
 /** A request as received from a client. */
@@ -531,24 +421,6 @@
   readonly endMs: number;
 }
 
-/** A finished exchange with a server. */
-interface CompletedExchange {
-  readonly server: ServerEntry;
-  readonly body: Buffer;
-  readonly result: ExchangeResult;
-}
-
-/**
- * Hashes method, target, key and body, so that requests with the same effect
- * have the same fingerprint, whichever client sends them.
- */
-function computeFingerprint(call: ClientCall, body: Buffer): string {
-  const { method, url } = call.request;
-  return createHash("sha256")
-    .update(`${method} ${url} ${call.metadata.key ?? ""}\n`)
-    .update(body).digest("base64url").slice(0, FINGERPRINT_LENGTH);
-}
-
 /** Why a request is refused before it is routed. */
 type RejectionReason = "starting" | "stopping" | "noRoute" | "routesOld";
 
@@ -580,21 +452,3 @@
   ExchangeEnd.TimedOut,
   ExchangeEnd.Cancelled,
 ]);
-
-/** What the result of an exchange says about the server. */
-const EXCHANGE_SIGNS: Record<
-  ExchangeEnd,
-  (result: ExchangeResult) => ExchangeOutcome
-> = {
-  [ExchangeEnd.Answered]: (r) =>
-    (r.answer?.status ?? 0) >= 500
-      ? ExchangeOutcome.Failure
-      : ExchangeOutcome.Answer,
-  [ExchangeEnd.NotRun]: (r) =>
-    r.answer?.status === 503 ? ExchangeOutcome.Full : ExchangeOutcome.None,
-  [ExchangeEnd.NotSent]: () => ExchangeOutcome.Unreachable,
-  [ExchangeEnd.Unsent]: () => ExchangeOutcome.None,
-  [ExchangeEnd.Broken]: () => ExchangeOutcome.Failure,
-  [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Missing,
-  [ExchangeEnd.Cancelled]: () => ExchangeOutcome.None,
-};
