gateway: Apply what servers say about themselves in one place

No change of behaviour but for one: a queued request no longer counts itself twice when permits are asked for. ServerClearance answers which servers may get a request; one pure decision serves pauses and limits (decideDelayed, four cases).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 } from "./ports.js";
 import { RequestMetrics } from "./request_metrics.js";
 import { ServerAgents } from "./server_agents.js";
+import { ServerClearance } from "./server_clearance.js";
 import type { GatewaySettings } from "./settings.js";
 import { TrafficStats } from "./traffic_stats.js";
 import { StatusServer } from "./status_server.js";
@@ -121,8 +122,12 @@
     this.#placer = new Placer(cluster, stats, {
       zone: settings.zone,
       countRouters,
-      permits: this.#permits,
-      getLeavingUseMs: () => LEAVING_USE_SHARE * options.settings().drainMs,
+      clearance: new ServerClearance({
+        cluster,
+        stats,
+        permits: this.#permits,
+        getLeavingUseMs: () => LEAVING_USE_SHARE * options.settings().drainMs,
+      }),
     });
     this.#dispatcher = new Dispatcher({
       settings: options.settings,
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -1,25 +1,21 @@
 /** Selects a server for a request, immediately or after a wait. @module */
 import {
   type Admission,
-  type Candidate,
   chooseServer,
-  computeMaxWait,
+  computeMaxDelay,
   computeRetryAfter,
   computeShare,
   decideAdmission,
+  decideDelayed,
   estimateLatency,
   type QueuedRequest,
   Verdict,
   WaitQueue,
 } from "@jaytiller/placement";
-import {
-  type ServerEntry,
-  ServerState,
-  type ServiceSpec,
-} from "@jaytiller/routing";
+import { type ServerEntry, type ServiceSpec } from "@jaytiller/routing";
 import type { ClientCall } from "./client_call.js";
 import type { ClusterState } from "./cluster_state.js";
-import type { PermitClient } from "./permit_client.js";
+import type { ServerClearance } from "./server_clearance.js";
 import type { TrafficStats } from "./traffic_stats.js";
 
 /** Why no server was selected. */
@@ -94,10 +90,8 @@
   readonly zone: string;
   /** Returns the number of routers that share the servers. */
   readonly countRouters: () => number;
-  /** Returns how long a server that says that it leaves is still used, ms. */
-  readonly getLeavingUseMs: () => number;
-  /** Permits for servers that name a limit. */
-  readonly permits: PermitClient;
+  /** What servers say about themselves. */
+  readonly clearance: ServerClearance;
 }
 
 /** Assigns requests to servers that may run them. */
@@ -106,8 +100,7 @@
   readonly #stats: TrafficStats;
   readonly #zone: string;
   readonly #countRouters: () => number;
-  readonly #permits: PermitClient;
-  readonly #getLeavingUseMs: () => number;
+  readonly #clearance: ServerClearance;
   readonly #queue = WaitQueue.create({ capacity: MAX_WAITING });
   #timer: NodeJS.Timeout | undefined;
 
@@ -120,8 +113,7 @@
     this.#stats = stats;
     this.#zone = options.zone;
     this.#countRouters = options.countRouters;
-    this.#permits = options.permits;
-    this.#getLeavingUseMs = options.getLeavingUseMs;
+    this.#clearance = options.clearance;
     cluster.onChange(() => this.advance());
   }
 
@@ -174,7 +166,7 @@
   }
 
   #reserve({ server }: ReservedServer): ReservedServer {
-    this.#permits.use(server.id, performance.now());
+    this.#clearance.use(server, performance.now());
     this.#stats.get(server.id).begin(this.#computeShare(server));
     return { server };
   }
@@ -253,16 +245,18 @@
     const server = id === undefined
       ? undefined
       : this.#cluster.servers.find(id);
-    if (!server || !this.#isUsable(server, nowMs)) {
+    if (!server || !this.#clearance.isUsable(server, nowMs)) {
       const waitMs = Math.min(MAX_MOVE_WAIT_MS, MOVE_WAIT_SHARE * leftMs);
       return { resource: "moving", waitMs, reason: RefusalReason.KeyMoving };
     }
-    const pause = this.#attemptPaused(call, {
-      entries: [server],
-      resource: `server/${server.id}`,
+    const resource = `server/${server.id}`;
+    const paused = this.#attemptDelayed(call, {
+      delayMs: this.#clearance.computePause([server], nowMs),
+      resource,
+      reason: RefusalReason.Paused,
       nowMs,
     });
-    if (pause) return pause;
+    if (paused) return paused;
     const stats = this.#stats.get(server.id);
     if (stats.isUnreachable(nowMs)) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
@@ -270,11 +264,14 @@
     if (options.ahead === undefined && !this.#isAdmitted(server.id, nowMs)) {
       return refuse(RefusalReason.OwnerOverloaded, OVERLOAD_RETRY_AFTER_MS);
     }
-    const resource = `server/${server.id}`;
-    const limited = this.#attemptLimited(call, {
-      ...options,
-      server,
+    const limited = this.#attemptDelayed(call, {
+      delayMs: this.#clearance.computePermitDelay(server, {
+        waiting: this.#countWaiting(call, { resource, ...options }),
+        nowMs,
+      }),
       resource,
+      reason: RefusalReason.OwnerLimited,
+      nowMs,
     });
     if (limited) return limited;
     const assumedMs = stats.measuredServiceMs ??
@@ -296,69 +293,44 @@
     return makeAttempt(admission, { server, resource, leftMs });
   }
 
-  /**
-   * Returns how to go on while all servers want nothing from this router, or
-   * `undefined` if some take requests.
-   */
-  #attemptPaused(
+  /** Counts the requests for a server up to this one, which may be queued. */
+  #countWaiting(
     call: ClientCall,
-    { entries, resource, nowMs }: {
-      entries: readonly ServerEntry[];
-      resource: string;
-      nowMs: number;
-    },
-  ): Attempt | undefined {
-    const { notices } = this.#stats;
-    const pauseMs = Math.min(
-      ...entries.map((entry) => notices.getPauseMs(entry, nowMs)),
-    );
-    if (pauseMs === 0) return undefined;
-    const leftMs = call.deadlineMs - nowMs;
-    const waitMs = computeMaxWait({ leftMs, targetMs: call.route.targetMs });
-    return pauseMs > waitMs
-      ? refuse(RefusalReason.Paused, computeRetryAfter(pauseMs))
-      : { resource, waitMs, reason: RefusalReason.Paused };
+    { resource, ahead }: { resource: string; ahead: number | undefined },
+  ): number {
+    const queued = this.#queue.countAhead(resource, call.route.priority);
+    return Math.max(1, ahead === undefined ? queued + 1 : queued);
   }
 
   /**
-   * Returns how to go on without a permit for a server that names a limit, or
-   * `undefined` if there is one, or none is needed.
+   * Returns how to go on with a request that a server takes only later, or
+   * `undefined` if it takes it now.
    */
-  #attemptLimited(
+  #attemptDelayed(
     call: ClientCall,
-    { nowMs, server, resource }: AttemptOptions & {
-      server: ServerEntry;
+    { delayMs, resource, reason, nowMs }: {
+      delayMs: number;
       resource: string;
+      reason: RefusalReason;
+      nowMs: number;
     },
   ): Attempt | undefined {
-    if (this.#permits.isAllowed(server.id, nowMs)) return undefined;
-    const ahead = this.#queue.countAhead(resource, call.route.priority);
-    const permitMs = this.#permits.request(server.id, {
-      waiting: ahead + 1,
-      nowMs,
-    });
-    if (permitMs === 0) return undefined;
     const leftMs = call.deadlineMs - nowMs;
-    const waitMs = computeMaxWait({ leftMs, targetMs: call.route.targetMs });
-    return permitMs > waitMs
-      ? refuse(RefusalReason.OwnerLimited, computeRetryAfter(permitMs))
-      : { resource, waitMs, reason: RefusalReason.OwnerLimited };
-  }
-
-  /** Returns whether a server may get requests that only it can run. */
-  #isUsable(server: ServerEntry, nowMs: number): boolean {
-    const leavingMs = this.#stats.notices.getLeavingMs(server, nowMs);
-    return server.state === ServerState.Ready &&
-      (leavingMs ?? 0) <= this.#getLeavingUseMs();
-  }
-
-  /** Lists the servers of a service for new requests, if possible none leaving. */
-  #listUsable(service: string, nowMs: number): readonly ServerEntry[] {
-    const usable = this.#cluster.servers.listReady(service)
-      .filter((entry) => this.#isUsable(entry, nowMs));
-    const { notices } = this.#stats;
-    const staying = usable.filter((entry) => !notices.isLeaving(entry));
-    return staying.length > 0 ? staying : usable;
+    const { targetMs } = call.route;
+    const { verdict, retryAfterMs } = decideDelayed({
+      delayMs,
+      leftMs,
+      targetMs,
+    });
+    const attempts: Record<Verdict, () => Attempt | undefined> = {
+      [Verdict.Send]: () => undefined,
+      [Verdict.Wait]: () => {
+        const waitMs = computeMaxDelay({ leftMs, targetMs });
+        return { resource, waitMs, reason };
+      },
+      [Verdict.Refuse]: () => refuse(reason, retryAfterMs),
+    };
+    return attempts[verdict]();
   }
 
   /** Draws whether an overloaded server gets a request. */
@@ -367,41 +339,24 @@
     return share === 1 || Math.random() < share;
   }
 
-  #makeCandidate(entry: ServerEntry, nowMs: number): Candidate {
-    const stats = this.#stats.get(entry.id);
-    const requestsPerSecond = this.#stats.notices.getLimit(entry.id);
-    if (requestsPerSecond === undefined) return { entry, stats };
-    const hasPermit = this.#permits.isAllowed(entry.id, nowMs);
-    return { entry, stats, limit: { requestsPerSecond, hasPermit } };
-  }
-
-  /** Asks for permits for servers with a limit: all, or this router's share. */
-  #requestPermits(
-    candidates: readonly Candidate[],
-    { isNeeded, nowMs }: { isNeeded: boolean; nowMs: number },
-  ): void {
-    for (const { entry: { id }, limit } of candidates) {
-      if (!limit || limit.hasPermit) continue;
-      if (isNeeded) this.#permits.request(id, { waiting: 1, nowMs });
-      else this.#permits.requestShare(id, nowMs);
-    }
-  }
-
   #attemptAny(
     call: ClientCall,
     service: ServiceSpec,
     options: AttemptOptions,
   ): Attempt {
     const { nowMs } = options;
-    const entries = this.#listUsable(service.name, nowMs);
+    const entries = this.#clearance.listUsable(service.name, nowMs);
     if (entries.length === 0) return refuse(RefusalReason.NoServer);
     const resource = `service/${service.name}`;
-    const pause = this.#attemptPaused(call, { entries, resource, nowMs });
-    if (pause) return pause;
+    const paused = this.#attemptDelayed(call, {
+      delayMs: this.#clearance.computePause(entries, nowMs),
+      resource,
+      reason: RefusalReason.Paused,
+      nowMs,
+    });
+    if (paused) return paused;
     const serviceMs = this.#stats.computeMeanServiceMs(entries);
-    const candidates = entries
-      .filter((entry) => this.#stats.notices.getPauseMs(entry, nowMs) === 0)
-      .map((entry) => this.#makeCandidate(entry, nowMs));
+    const candidates = this.#clearance.listCandidates(entries, nowMs);
     const { best, heard, limit } = chooseServer(candidates, {
       nowMs,
       zone: this.#zone,
@@ -412,7 +367,7 @@
       random: Math.random,
     });
     const isNeeded = best === undefined;
-    this.#requestPermits(candidates, { isNeeded, nowMs });
+    this.#clearance.requestPermits(candidates, { isNeeded, nowMs });
     if (heard === 0) {
       return refuse(RefusalReason.OwnerSilent, UNREACHABLE_RETRY_AFTER_MS);
     }
--- /dev/null
+++ b/packages/gateway/src/server_clearance.ts
@@ -0,0 +1,98 @@
+/** Applies to new requests what servers say about themselves. @module */
+import type { Candidate } from "@jaytiller/placement";
+import { type ServerEntry, ServerState } from "@jaytiller/routing";
+import type { ClusterState } from "./cluster_state.js";
+import type { PermitClient } from "./permit_client.js";
+import type { TrafficStats } from "./traffic_stats.js";
+
+/** Dependencies of a clearance. */
+export interface ServerClearanceOptions {
+  readonly cluster: ClusterState;
+  readonly stats: TrafficStats;
+  readonly permits: PermitClient;
+  /** Returns how long a server that says that it leaves is still used, ms. */
+  readonly getLeavingUseMs: () => number;
+}
+
+/** Which servers may get a request now, and when the others may. */
+export class ServerClearance {
+  readonly #options: ServerClearanceOptions;
+
+  constructor(options: ServerClearanceOptions) {
+    this.#options = options;
+  }
+
+  /** Returns whether a server may get requests that only it can run. */
+  isUsable(server: ServerEntry, nowMs: number): boolean {
+    const { stats, getLeavingUseMs } = this.#options;
+    const leavingMs = stats.notices.getLeavingMs(server, nowMs) ?? 0;
+    return server.state === ServerState.Ready && leavingMs <= getLeavingUseMs();
+  }
+
+  /** Lists the servers of a service for new requests, if possible none leaving. */
+  listUsable(service: string, nowMs: number): readonly ServerEntry[] {
+    const { cluster, stats: { notices } } = this.#options;
+    const usable = cluster.servers.listReady(service)
+      .filter((entry) => this.isUsable(entry, nowMs));
+    const staying = usable.filter((entry) => !notices.isLeaving(entry));
+    return staying.length > 0 ? staying : usable;
+  }
+
+  /** Returns how long all of the servers still want nothing, ms. */
+  computePause(entries: readonly ServerEntry[], nowMs: number): number {
+    const { notices } = this.#options.stats;
+    return Math.min(...entries.map((e) => notices.getPauseMs(e, nowMs)));
+  }
+
+  /**
+   * Returns when a permit may be there if the server's limit needs one, ms.
+   * `waiting` counts the requests that wait for permits.
+   */
+  computePermitDelay(
+    { id }: ServerEntry,
+    { waiting, nowMs }: { waiting: number; nowMs: number },
+  ): number {
+    const { permits } = this.#options;
+    return permits.isAllowed(id, nowMs)
+      ? 0
+      : permits.request(id, { waiting, nowMs });
+  }
+
+  /** Lists the servers that want requests, with their limits. */
+  listCandidates(
+    entries: readonly ServerEntry[],
+    nowMs: number,
+  ): readonly Candidate[] {
+    const { notices } = this.#options.stats;
+    return entries
+      .filter((entry) => notices.getPauseMs(entry, nowMs) === 0)
+      .map((entry) => this.#makeCandidate(entry, nowMs));
+  }
+
+  /** Asks for permits for servers with a limit: all, or this router's share. */
+  requestPermits(
+    candidates: readonly Candidate[],
+    { isNeeded, nowMs }: { isNeeded: boolean; nowMs: number },
+  ): void {
+    const { permits } = this.#options;
+    for (const { entry: { id }, limit } of candidates) {
+      if (!limit || limit.hasPermit) continue;
+      if (isNeeded) permits.request(id, { waiting: 1, nowMs });
+      else permits.requestShare(id, nowMs);
+    }
+  }
+
+  /** Uses a permit for a request that is sent, if the server needs one. */
+  use({ id }: ServerEntry, nowMs: number): void {
+    this.#options.permits.use(id, nowMs);
+  }
+
+  #makeCandidate(entry: ServerEntry, nowMs: number): Candidate {
+    const { stats, permits } = this.#options;
+    const requestsPerSecond = stats.notices.getLimit(entry.id);
+    const candidate = { entry, stats: stats.get(entry.id) };
+    if (requestsPerSecond === undefined) return candidate;
+    const hasPermit = permits.isAllowed(entry.id, nowMs);
+    return { ...candidate, limit: { requestsPerSecond, hasPermit } };
+  }
+}
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -69,9 +69,27 @@
   return { verdict: Verdict.Refuse, retryAfterMs: computeRetryAfter(waitMs) };
 }
 
-/** Returns the longest time that a request may wait for a server, ms. */
-export function computeMaxWait(
-  { leftMs, targetMs }: { leftMs: number; targetMs: number },
+/** A server that takes a request only later, because it has said so. */
+export interface DelayFacts {
+  /** Time until it takes the request, ms. */
+  readonly delayMs: number;
+  /** Time left until the client's or the route's deadline, ms. */
+  readonly leftMs: number;
+  /** Latency within which a response has its full value, ms. */
+  readonly targetMs: number;
+}
+
+/** Decides on a request for a server that has asked for a pause or a limit. */
+export function decideDelayed(facts: DelayFacts): Admission {
+  const { delayMs } = facts;
+  if (delayMs === 0) return admit(Verdict.Send);
+  if (delayMs <= computeMaxDelay(facts)) return admit(Verdict.Wait);
+  return { verdict: Verdict.Refuse, retryAfterMs: computeRetryAfter(delayMs) };
+}
+
+/** Returns the longest time that a request waits for such a server, ms. */
+export function computeMaxDelay(
+  { leftMs, targetMs }: Omit<DelayFacts, "delayMs">,
 ): number {
   return MAX_WAIT_SHARE * Math.min(leftMs, targetMs);
 }
--- a/packages/placement/test/admission_test.ts
+++ b/packages/placement/test/admission_test.ts
@@ -4,6 +4,7 @@
 import {
   type AdmissionFacts,
   decideAdmission,
+  decideDelayed,
   type QueuedRequest,
   RetryBudget,
   Verdict,
@@ -107,3 +108,49 @@
   queue.dispatchDue(10);
   assert.deepEqual(dispatched, ["urgent", "soon", "late"]);
 });
+
+interface DelayCase {
+  readonly behavior: string;
+  readonly delayMs: number;
+  readonly leftMs: number;
+  readonly verdict: Verdict;
+  readonly retryAfterMs: number;
+}
+
+const DELAY_CASES: readonly DelayCase[] = [
+  {
+    behavior: "a server that takes requests gets it",
+    delayMs: 0,
+    leftMs: 1_000,
+    verdict: Verdict.Send,
+    retryAfterMs: 0,
+  },
+  {
+    behavior: "a delay within the target is waited for",
+    delayMs: 150,
+    leftMs: 1_000,
+    verdict: Verdict.Wait,
+    retryAfterMs: 0,
+  },
+  {
+    behavior: "a delay beyond the target is refused with its end",
+    delayMs: 450,
+    leftMs: 1_000,
+    verdict: Verdict.Refuse,
+    retryAfterMs: 450,
+  },
+  {
+    behavior: "a delay beyond the time left is refused",
+    delayMs: 150,
+    leftMs: 200,
+    verdict: Verdict.Refuse,
+    retryAfterMs: 150,
+  },
+];
+
+for (const { behavior, verdict, retryAfterMs, ...delay } of DELAY_CASES) {
+  test(`servers that take requests later: ${behavior}`, () => {
+    const decision = decideDelayed({ ...delay, targetMs: 500 });
+    assert.deepEqual(decision, { verdict, retryAfterMs });
+  });
+}
