--- a/packages/gateway/src/load_reports.ts
+++ b/packages/gateway/src/load_reports.ts
@@ -25,6 +25,8 @@
   readonly #estimator = new CapacityEstimator();
   readonly #crashes = new PoisonRequestTracker();
   #admissionShares: readonly AdmissionShare[] = [];
+  /** The last view with leaving servers, and what it was made from. */
+  #drained: { servers: ServerView; key: string; view: ServerView } | undefined;
 
   constructor(options: { cluster: ClusterState; stats: TrafficStats }) {
     this.#cluster = options.cluster;
@@ -68,21 +70,26 @@
   ): PlanContext {
     return {
       ...options,
-      view: this.#makeView(),
+      view: this.#getView(),
       load: this.#estimator.getLoad(service),
       getCapacity: this.#makeCapacityLookup(service),
     };
   }
 
   /** The view of servers, in which those that say so are leaving. */
-  #makeView(): ServerView {
+  #getView(): ServerView {
     const { servers } = this.#cluster;
     const { notices } = this.#stats;
     const leaving = notices.listLeaving().filter((id) => {
       const entry = servers.find(id);
       return entry && notices.isLeaving(entry);
     });
-    return leaving.length === 0 ? servers : servers.markDraining(leaving);
+    if (leaving.length === 0) return servers;
+    const key = leaving.join();
+    if (this.#drained?.servers !== servers || this.#drained.key !== key) {
+      this.#drained = { servers, key, view: servers.markDraining(leaving) };
+    }
+    return this.#drained.view;
   }
 
   /** A server's capacity is what it can run, or the limit that it names. */
