gateway: Tell a new coordinator what servers have said before

Report of another operator: after a restart of one of the system's processes a server that had left was in use again. Cause: a router reported what a server said once. A coordinator that had just restarted was told nothing, gave keys to a server that leaves, and routers that knew refused the requests for them. Change: the first reply to a new term reports all that the router knows. Measured: 'a new coordinator is told what servers have said before' failed before and passes now.

--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -203,6 +203,7 @@
     if (beat.term > this.#term) {
       this.#localCoordinator?.end("a heartbeat has a higher term");
       this.#term = beat.term;
+      this.#options.stats.notices.reportAgain();
       this.#serversNumber = 0;
       this.#ownersNumber = 0;
       log.record("coordinator", {
--- a/packages/gateway/test/server_updates_test.ts
+++ b/packages/gateway/test/server_updates_test.ts
@@ -194,3 +194,17 @@
   assert.ok(cluster.serversConfirmedAt > confirmedAt, "all records are read");
   assert.equal(listIds(cluster), "i-1,i-2,i-3");
 });
+
+// Guards against a server that is used again because a restarted coordinator
+// does not know what it has said.
+test("a new coordinator is told what servers have said before", () => {
+  const { sendHeartbeat } = makeRouter();
+  const notices = [{ server: "i-1", born: 1, ageMs: 50, leavingMs: 400 }];
+  const beat = makeHeartbeat(0, undefined);
+  const first = sendHeartbeat({ ...beat, notices });
+  assert.deepEqual(first.notices ?? [], [], "known to the sender");
+  const second = sendHeartbeat({ ...beat, term: 2 });
+  assert.equal(second.notices?.[0]?.server, "i-1");
+  const third = sendHeartbeat({ ...beat, term: 2 });
+  assert.deepEqual(third.notices ?? [], [], "reported once");
+});
--- a/packages/placement/src/server_notices.ts
+++ b/packages/placement/src/server_notices.ts
@@ -40,7 +40,7 @@
   readonly atMs: number;
   /** Time at which the server first said that it leaves, ms. */
   readonly leavingSinceMs: number | undefined;
-  /** Whether this router heard it itself and has not reported it yet. */
+  /** Whether the coordinator has to be told. */
   readonly isUnreported: boolean;
 }
 
@@ -138,7 +138,17 @@
       .map(([id]) => id);
   }
 
-  /** Returns what this router has heard itself since the last call. */
+  /** Makes the next report complete, for a coordinator that may know nothing. */
+  reportAgain(): void {
+    for (const [server, word] of this.#words) {
+      this.#words.set(server, { ...word, isUnreported: true });
+    }
+  }
+
+  /**
+   * Returns what this router has heard itself since the last call, or all that
+   * it knows after `reportAgain`.
+   */
   takeReports(nowMs: number): readonly NoticeReport[] {
     const reports: NoticeReport[] = [];
     for (const [server, word] of this.#words) {
