placement: Report that a server leaves also beside a newer limit

Cause: a newer word of a server from another router replaced the one that this router had not reported yet, and with it the report that the server leaves. Change: the word stays unreported as long as it says more than what came in. Measured: 'a router reports that a server leaves beside a newer limit' failed before (nothing was reported) and passes now.

--- a/packages/placement/src/server_notices.ts
+++ b/packages/placement/src/server_notices.ts
@@ -194,13 +194,14 @@
   if (!known || reported.born > known.born) return reported;
   if (reported.born < known.born) return known;
   const newer = reported.atMs > known.atMs ? reported : known;
-  const leavingSinceMs = Math.min(
-    known.leavingSinceMs ?? Infinity,
-    reported.leavingSinceMs ?? Infinity,
-  );
+  const knownMs = known.leavingSinceMs ?? Infinity;
+  const reportedMs = reported.leavingSinceMs ?? Infinity;
+  const leavingSinceMs = Math.min(knownMs, reportedMs);
   return {
     ...newer,
     leavingSinceMs: leavingSinceMs === Infinity ? undefined : leavingSinceMs,
+    isUnreported: known.isUnreported &&
+      (newer === known || knownMs < reportedMs),
   };
 }
 
--- a/packages/placement/test/server_notices_test.ts
+++ b/packages/placement/test/server_notices_test.ts
@@ -229,6 +229,20 @@
   ));
 });
 
+// Guards against a word that the coordinator never hears, because another word
+// of the same server came in between.
+test("a router reports that a server leaves beside a newer limit", () => {
+  const notices = new ServerNotices();
+  notices.record(SERVER, LEAVING, 0);
+  notices.merge(
+    [{ server: "i-1", born: 5, requestsPerSecond: 2, ageMs: 10 }],
+    100,
+  );
+  assert.deepEqual(notices.takeReports(100), [
+    { server: "i-1", born: 5, requestsPerSecond: 2, ageMs: 10, leavingMs: 100 },
+  ]);
+});
+
 test("a router reports what it has heard itself, once", () => {
   const notices = new ServerNotices();
   notices.merge(
