gateway: Read the configuration no faster because another router has a newer one

Cause: found by reading. Each reply of a router with a newer version made the coordinator read at once, also in the pause after a read that the store had refused: hundreds of calls a second with hundreds of routers. Otherwise it reads without a pause anyway, so the signal gained nothing. Change: the signal is removed. A reply for permits cannot make a router wait longer than the slowest rate allows. Measured: not measured; no test played the store refusing the coordinator beside routers with a newer version.

--- a/packages/gateway/src/configuration_follower.ts
+++ b/packages/gateway/src/configuration_follower.ts
@@ -62,12 +62,6 @@
     clearInterval(this.#timer);
   }
 
-  /** Reads as soon as possible, because a newer version exists. */
-  expectNewer(): void {
-    this.#nextReadMs = 0;
-    if (!this.#isReading) void this.#follow(0);
-  }
-
   #check(): void {
     const { isCoordinator } = this.#options;
     const nowMs = performance.now();
--- a/packages/gateway/src/coordinator.ts
+++ b/packages/gateway/src/coordinator.ts
@@ -46,8 +46,6 @@
   readonly leases: LeaseTransport;
   readonly log: EventLog;
   readonly times: LeaseTimes;
-  /** Called when another router has a newer configuration. */
-  readonly onNewerConfiguration: () => void;
   /** Called once this router is no longer the coordinator. */
   readonly onEnd: (reason: string) => void;
 }
@@ -470,8 +468,6 @@
     if (answer.term === this.#term) this.#recordAcceptance(router, sent.atMs);
     if (router.incarnation !== recipient.incarnation) this.join(router);
     this.#reports.add(answer);
-    const version = this.#options.cluster.routes?.version ?? 0;
-    if (answer.version > version) this.#options.onNewerConfiguration();
   }
 
   /** Records that a router has accepted the term after `atMs`. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,7 +99,6 @@
           leases,
           log,
           times,
-          onNewerConfiguration: () => this.#follower.expectNewer(),
           onEnd: () => this.#member.endTerm(),
         }, claim),
     });
--- a/packages/gateway/src/permit_client.ts
+++ b/packages/gateway/src/permit_client.ts
@@ -34,6 +34,8 @@
 const EXPECTED_ANSWER_MS = 30;
 /** Time after a failed call for which the coordinator isn't asked, ms. */
 const COORDINATOR_RETRY_DELAY_MS = 500;
+/** Longest time after which permits are asked for again, ms. */
+const MAX_WAIT_MS = 1_000 / MIN_REQUESTS_PER_SECOND;
 /** Part of a limit that is used while other servers have room. */
 const IDLE_SHARE = 0.25;
 /** Time for which permits are asked for in advance, s. */
@@ -144,7 +146,9 @@
   #add(permits: ServerPermits, { granted, waitMs }: PermitGrant): void {
     const nowMs = performance.now();
     permits.stock.add(granted, nowMs);
-    permits.notBeforeMs = granted > 0 ? nowMs : nowMs + waitMs;
+    permits.notBeforeMs = granted > 0
+      ? nowMs
+      : nowMs + Math.min(waitMs, MAX_WAIT_MS);
   }
 
   #askCoordinator(permits: ServerPermits, request: PermitRequest): void {
