--- a/packages/placement/src/server_notice.ts
+++ b/packages/placement/src/server_notice.ts
@@ -1,6 +1,6 @@
 /** What a server says about itself with a response. @module */
 
-/** A server's words about itself; each response carries all of them. */
+/** What a server says about itself; each response carries all of it. */
 export interface ServerNotice {
   /**
    * Requests per second that it takes from all routers together; absent if it
--- a/packages/placement/src/server_notices.ts
+++ b/packages/placement/src/server_notices.ts
@@ -4,20 +4,20 @@
  * Load pattern: a server in need names the requests per second that it takes
  * from all routers together, for as long as it says so. A server that leaves
  * says so until its process ends, also while it cannot reach the store. Each
- * router hears some of its responses only, so routers exchange what they heard;
- * the newest word counts.
+ * router gets some of its responses only, so routers exchange the notices, and
+ * the newest one counts.
  * @module
  */
 import type { ServerNotice } from "./server_notice.js";
 
 /** A run of a server's process. */
-export interface NoticingServer {
+export interface NoticeSender {
   readonly id: string;
   /** Start time of its process, Unix ms. */
   readonly born: number;
 }
 
-/** A server's word as routers report it to each other. */
+/** A notice of a server as routers report it to each other. */
 export interface NoticeReport {
   readonly server: string;
   readonly born: number;
@@ -31,10 +31,10 @@
 
 /** Time for which the end of a limit is reported, ms. */
 const ENDED_LIMIT_REPORT_MS = 5_000;
-/** Age from which the word of a server that is not registered is dropped, ms. */
+/** Age from which the notice of a server that is not registered is dropped, ms. */
 const MAX_UNKNOWN_AGE_MS = 60_000;
 
-interface Word {
+interface KnownNotice {
   readonly born: number;
   readonly requestsPerSecond: number | undefined;
   readonly atMs: number;
@@ -56,27 +56,27 @@
   readonly isLeavingNew: boolean;
 }
 
-/** The newest word of each server that has a limit, had one, or leaves. */
+/** The newest notice of each server that has a limit, had one, or leaves. */
 export class ServerNotices {
-  readonly #words = new Map<string, Word>();
+  readonly #known = new Map<string, KnownNotice>();
   readonly #pauses = new Map<string, Pause>();
 
   /** Records a response of a server. One without a limit ends the limit. */
   record(
-    server: NoticingServer,
+    server: NoticeSender,
     notice: ServerNotice,
     nowMs: number,
   ): NoticeChange {
     const { id, born } = server;
     const { requestsPerSecond, isLeaving } = notice;
-    const known = this.#words.get(id);
+    const known = this.#known.get(id);
     const isSilent = requestsPerSecond === undefined && !isLeaving;
     if (!known && isSilent || known && known.born > born) return NO_CHANGE;
     const earlier = known?.born === born ? known : undefined;
     const leavingSinceMs = earlier?.leavingSinceMs ??
       (isLeaving ? nowMs : undefined);
-    const word = { born, requestsPerSecond, leavingSinceMs, atMs: nowMs };
-    this.#words.set(id, { ...word, isUnreported: true });
+    const current = { born, requestsPerSecond, leavingSinceMs, atMs: nowMs };
+    this.#known.set(id, { ...current, isUnreported: true });
     return {
       isLimitChanged: earlier?.requestsPerSecond !== requestsPerSecond,
       isLeavingNew: earlier?.leavingSinceMs !== leavingSinceMs,
@@ -85,7 +85,7 @@
 
   /** Records that a server wants nothing from this router for `pauseMs`. */
   recordPause(
-    { id, born }: NoticingServer,
+    { id, born }: NoticeSender,
     { pauseMs, nowMs }: { pauseMs: number; nowMs: number },
   ): void {
     const known = this.#pauses.get(id);
@@ -95,7 +95,7 @@
   }
 
   /** Returns how long a server still wants nothing from this router, ms. */
-  getPauseMs({ id, born }: NoticingServer, nowMs: number): number {
+  getPauseMs({ id, born }: NoticeSender, nowMs: number): number {
     const pause = this.#pauses.get(id);
     return pause?.born === born ? Math.max(0, pause.endMs - nowMs) : 0;
   }
@@ -103,45 +103,45 @@
   /** Adds what other routers report, as far as it is newer. */
   merge(reports: readonly NoticeReport[], nowMs: number): void {
     for (const report of reports) {
-      const known = this.#words.get(report.server);
-      const word = mergeWords(known, makeWord(report, nowMs));
-      const isEmpty = word.requestsPerSecond === undefined &&
-        word.leavingSinceMs === undefined;
-      if (known || !isEmpty) this.#words.set(report.server, word);
+      const known = this.#known.get(report.server);
+      const merged = mergeNotices(known, makeKnownNotice(report, nowMs));
+      const isEmpty = merged.requestsPerSecond === undefined &&
+        merged.leavingSinceMs === undefined;
+      if (known || !isEmpty) this.#known.set(report.server, merged);
     }
   }
 
   /** Returns the requests per second that a server takes, if it limits them. */
   getLimit(server: string): number | undefined {
-    return this.#words.get(server)?.requestsPerSecond;
+    return this.#known.get(server)?.requestsPerSecond;
   }
 
   /**
    * Returns how long ago a server first said that it leaves, ms, or `undefined`
    * if it has not.
    */
-  getLeavingMs(server: NoticingServer, nowMs: number): number | undefined {
-    const word = this.#words.get(server.id);
-    return word?.leavingSinceMs === undefined || word.born !== server.born
+  getLeavingMs(server: NoticeSender, nowMs: number): number | undefined {
+    const notice = this.#known.get(server.id);
+    return notice?.leavingSinceMs === undefined || notice.born !== server.born
       ? undefined
-      : nowMs - word.leavingSinceMs;
+      : nowMs - notice.leavingSinceMs;
   }
 
-  isLeaving(server: NoticingServer): boolean {
+  isLeaving(server: NoticeSender): boolean {
     return this.getLeavingMs(server, 0) !== undefined;
   }
 
   /** Lists the ids of all servers that leave. */
   listLeaving(): readonly string[] {
-    return [...this.#words]
-      .filter(([, word]) => word.leavingSinceMs !== undefined)
+    return [...this.#known]
+      .filter(([, notice]) => notice.leavingSinceMs !== undefined)
       .map(([id]) => id);
   }
 
   /** Makes the next report complete, for a coordinator that may know nothing. */
   reportAgain(): void {
-    for (const [server, word] of this.#words) {
-      this.#words.set(server, { ...word, isUnreported: true });
+    for (const [server, notice] of this.#known) {
+      this.#known.set(server, { ...notice, isUnreported: true });
     }
   }
 
@@ -151,23 +151,23 @@
    */
   takeReports(nowMs: number): readonly NoticeReport[] {
     const reports: NoticeReport[] = [];
-    for (const [server, word] of this.#words) {
-      if (!word.isUnreported) continue;
-      reports.push(makeReport(server, word, nowMs));
-      this.#words.set(server, { ...word, isUnreported: false });
+    for (const [server, notice] of this.#known) {
+      if (!notice.isUnreported) continue;
+      reports.push(makeReport(server, notice, nowMs));
+      this.#known.set(server, { ...notice, isUnreported: false });
     }
     return reports;
   }
 
   /** Lists the servers that leave, all limits, and those that ended recently. */
   listReports(nowMs: number): readonly NoticeReport[] {
-    return [...this.#words]
-      .filter(([, word]) =>
-        word.requestsPerSecond !== undefined ||
-        word.leavingSinceMs !== undefined ||
-        nowMs - word.atMs < ENDED_LIMIT_REPORT_MS
+    return [...this.#known]
+      .filter(([, notice]) =>
+        notice.requestsPerSecond !== undefined ||
+        notice.leavingSinceMs !== undefined ||
+        nowMs - notice.atMs < ENDED_LIMIT_REPORT_MS
       )
-      .map(([server, word]) => makeReport(server, word, nowMs));
+      .map(([server, notice]) => makeReport(server, notice, nowMs));
   }
 
   /**
@@ -175,11 +175,11 @@
    * registered server. The entry of a running server may be missing for a while.
    */
   retain(getBorn: (id: string) => number | undefined, nowMs: number): void {
-    for (const [id, word] of this.#words) {
+    for (const [id, notice] of this.#known) {
       const born = getBorn(id);
-      const isReplaced = born !== undefined && born > word.born;
-      const isOld = nowMs - word.atMs > MAX_UNKNOWN_AGE_MS;
-      if (isReplaced || born === undefined && isOld) this.#words.delete(id);
+      const isReplaced = born !== undefined && born > notice.born;
+      const isOld = nowMs - notice.atMs > MAX_UNKNOWN_AGE_MS;
+      if (isReplaced || born === undefined && isOld) this.#known.delete(id);
     }
     for (const [id, { endMs }] of this.#pauses) {
       if (endMs < nowMs) this.#pauses.delete(id);
@@ -189,8 +189,11 @@
 
 const NO_CHANGE: NoticeChange = { isLimitChanged: false, isLeavingNew: false };
 
-/** Returns the newer word, and the earlier time at which a process leaves. */
-function mergeWords(known: Word | undefined, reported: Word): Word {
+/** Returns the newer notice, and the earlier time at which a process leaves. */
+function mergeNotices(
+  known: KnownNotice | undefined,
+  reported: KnownNotice,
+): KnownNotice {
   if (!known || reported.born > known.born) return reported;
   if (reported.born < known.born) return known;
   const newer = reported.atMs > known.atMs ? reported : known;
@@ -205,7 +208,7 @@
   };
 }
 
-function makeWord(report: NoticeReport, nowMs: number): Word {
+function makeKnownNotice(report: NoticeReport, nowMs: number): KnownNotice {
   const { born, requestsPerSecond, ageMs, leavingMs } = report;
   return {
     born,
@@ -216,8 +219,12 @@
   };
 }
 
-function makeReport(server: string, word: Word, nowMs: number): NoticeReport {
-  const { born, requestsPerSecond, atMs, leavingSinceMs } = word;
+function makeReport(
+  server: string,
+  notice: KnownNotice,
+  nowMs: number,
+): NoticeReport {
+  const { born, requestsPerSecond, atMs, leavingSinceMs } = notice;
   const computeAge = (ms: number) => Math.max(0, Math.round(nowMs - ms));
   return {
     server,
