gateway: Read the configuration only when it is older than heartbeats explain

In calm a gateway's configuration can be half of the bound and a heartbeat old, which is three quarters: some gateways read for themselves now and then. Change: they do so from four fifths of the bound on, 1.6 s of 2 s.

--- a/packages/gateway/src/configuration_follower.ts
+++ b/packages/gateway/src/configuration_follower.ts
@@ -23,7 +23,7 @@
 /** Parts of the time within which a configuration has to be in force. */
 const WAIT_SHARE = 0.5;
 const OVERDUE_SHARE = 0.125;
-const STALE_SHARE = 0.75;
+const STALE_SHARE = 0.8;
 
 /** How a read of the configuration ended. */
 enum ReadEnd {
