Review: end all gateways however a case ends; record the cases

A case that is ended by a signal, fails, or stops while a gateway waits for its restart could leave a gateway running.

--- a/review/standins/case.mjs
+++ b/review/standins/case.mjs
@@ -105,15 +105,26 @@
     );
   const deployment = new Deployment(record);
   let code = EXIT_NOT_RUN;
+  // Nothing that was started outlives the case, however it ends.
+  process.on("exit", () => {
+    for (const gateway of deployment.gateways) gateway.signal("SIGKILL");
+  });
   const finish = async () => {
     await deployment.stop();
     writeFileSync(new URL("record.txt", folder), lines.join("\n") + "\n");
     process.exit(code);
   };
-  setTimeout(() => {
-    console.log("could not run: it took too long");
+  const abandon = (problem) => {
+    record("notRun", { problem });
+    console.log(`could not run: ${problem}`);
+    code = EXIT_NOT_RUN;
     void finish();
-  }, MAX_CASE_MS).unref();
+  };
+  setTimeout(() => abandon("it took too long"), MAX_CASE_MS).unref();
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => abandon(`ended by ${signal}`));
+  }
+  process.once("uncaughtException", (error) => abandon(String(error.stack)));
   try {
     record("start", { hasTrouble });
     const violations = await play({ deployment, record, hasTrouble });
--- a/review/standins/gateway.mjs
+++ b/review/standins/gateway.mjs
@@ -183,7 +183,12 @@
     }
     child.once("exit", (code, signal) => {
       this.onExit({ code, signal });
-      if (this.#isRestarting) setTimeout(() => this.#spawn(), RESTART_DELAY_MS);
+      if (this.#isRestarting) {
+        setTimeout(
+          () => this.#isRestarting && this.#spawn(),
+          RESTART_DELAY_MS,
+        );
+      }
     });
     this.#child = child;
   }
