platform: An entry that can't be read, or used, names no server

Callers saw connections closed without an answer: one entry of another writer, whole but for one byte of its address, ended each coordinator at the first grant (ERR_INVALID_CHAR, uncaught), over and over.

Cause: entries and keys were decoded with replacement characters, so bytes that are no text became an address that nobody had written, and an address could hold anything but a colon or white space. What came out can't stand in a Host or Expect-Instance header. Ruled out: the bytes of the record in the store, which are passed on unchanged, and the ownership record, which only repeats the id.

A record that fails is skipped with a line `unreadable`, as before. That a call which can't be written ends its process is a fault of its own.

--- a/packages/kernel/src/validation.ts
+++ b/packages/kernel/src/validation.ts
@@ -50,11 +50,30 @@
 /** Reads an address to which connections can be made, `host:port`. */
 export function readAddress(value: unknown, path: string): string {
   const address = readString(value, path);
-  const port = Number(/^[^:\s]+:(\d{1,5})$/.exec(address)?.[1]);
+  const port = Number(/^[A-Za-z0-9.-]+:(\d{1,5})$/.exec(address)?.[1]);
   if (port >= 1 && port <= MAX_PORT) return address;
   throw new FieldError(path, "host:port", address);
 }
 
+const VISIBLE_ASCII = /^[\x21-\x7e]+$/;
+
+/** Reads an identifier that may stand in a header: visible ASCII characters. */
+export function readIdentifier(value: unknown, path: string): string {
+  const text = readString(value, path);
+  if (VISIBLE_ASCII.test(text)) return text;
+  throw new FieldError(path, "visible ASCII characters", text);
+}
+
+const UTF8 = new TextDecoder("utf-8", { fatal: true });
+
+/**
+ * Decodes UTF-8. Throws a `TypeError` if the bytes are none: replaced
+ * characters would make a value that nobody has written.
+ */
+export function decodeText(bytes: Uint8Array): string {
+  return UTF8.decode(bytes);
+}
+
 /** Reads a boolean; an absent value is `false`. */
 export function readBoolean(value: unknown, path: string): boolean {
   if (value === undefined) return false;
