gateway, platform: A call that can't be written is not sent, and says so

For a lease call that ended the coordinator; for a request the connection was closed without an answer, and the server's reservation was never released, so its limit shrank by one each time.

Cause: `request` of node:http throws at once for headers, targets, methods and ports that HTTP has no form for; both callers built it without a catch.

Change: the request is created in one place each.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -170,16 +170,13 @@
   start(): void {
     const options = this.#options;
     if (options.signal.aborted) return this.#finish(ExchangeEnd.Unsent);
-    const [host, port] = options.address.split(":");
-    this.#request = sendRequest({
-      agent: options.agent,
-      host: host!,
-      port: Number(port),
-      method: options.method,
-      path: options.target,
-      headers: options.headers as unknown as Record<string, string>,
-      setHost: false,
-    });
+    try {
+      this.#request = createRequest(options);
+    } catch (error) {
+      // A header or target that cannot be written.
+      const problem = (error as Error).message;
+      return this.#finish(ExchangeEnd.Unsent, { problem });
+    }
     watchHead(
       this.#request,
       () => this.#failWritten(ExchangeEnd.Broken, "response head too large"),
@@ -319,6 +316,20 @@
   }
 }
 
+/** Creates the request. Throws if it cannot be written as HTTP. */
+function createRequest(options: ExchangeOptions): ClientRequest {
+  const [host, port] = options.address.split(":");
+  return sendRequest({
+    agent: options.agent,
+    host: host!,
+    port: Number(port),
+    method: options.method,
+    path: options.target,
+    headers: options.headers as unknown as Record<string, string>,
+    setHost: false,
+  });
+}
+
 /** Returns why a response cannot be forwarded, if it cannot. */
 function findProblem(
   response: IncomingMessage,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -106,5 +106,6 @@
 
 /** Sends lease calls to backend servers. */
 export interface LeaseTransport {
+  /** Sends a call and waits for its outcome. Never rejects. */
   call(call: LeaseCall): Promise<LeaseCallResult>;
 }
--- a/packages/gateway/test/exchange_test.ts
+++ b/packages/gateway/test/exchange_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { ExchangeEnd } from "../src/exchange.js";
+import { ExchangeEnd, type ExchangeOptions } from "../src/exchange.js";
 import { ResponseBuffers } from "../src/response_limits.js";
 import { exchange, HEAD, listen, TIMEOUT_MS } from "./exchange_fixture.js";
 
@@ -167,6 +167,28 @@
   }
 });
 
+interface UnwritableCase {
+  readonly title: string;
+  readonly options: Partial<ExchangeOptions>;
+}
+
+const UNWRITABLE_CASES: readonly UnwritableCase[] = [
+  { title: "a header value", options: { headers: ["X-Id", "\ufffd"] } },
+  { title: "a header name", options: { headers: ["X\n", "a"] } },
+  { title: "a target", options: { target: "/\ufffd" } },
+  { title: "a method", options: { method: "G\n" } },
+  { title: "a port", options: { address: "127.0.0.1:70000" } },
+];
+
+// Guards against a request that ends its process, or keeps its reservation,
+// because it cannot be written.
+for (const { title, options } of UNWRITABLE_CASES) {
+  test(`nothing is sent if HTTP has no form for ${title}`, async () => {
+    const result = await exchange({ address: "127.0.0.1:1", ...options });
+    assert.equal(result.end, ExchangeEnd.Unsent, result.problem);
+  });
+}
+
 /** Guards against a gateway that is behind and blames the server for it. */
 test("an answer that arrived in time but is unread counts", async () => {
   const server = createServer((socket) => {
