gateway: A line that is JSON but no call ends its connection, not the process

Callers would have seen a gateway end, with all requests on it: one line `[null]` on the port for other routers was enough (seen by the review).

Cause: json-rpc-2.0 rejects for a list with anything but objects, and the promise was dropped. The other lines of the table were answered before.

Change: a rejection is logged as `peerCallMalformed`, bounded like other failed calls, and the connection is closed.

--- a/packages/gateway/src/peer_link.ts
+++ b/packages/gateway/src/peer_link.ts
@@ -25,12 +25,14 @@
   readonly #rpc: JSONRPCServer;
   readonly #sockets = new Set<Socket>();
   readonly #listen: ListenAddress;
+  readonly #log: EventLog;
 
   constructor(
     listen: ListenAddress,
     { methods, log }: { methods: PeerMethods; log: EventLog },
   ) {
     this.#listen = listen;
+    this.#log = log;
     // Bounded, because a faulty peer may send any number of messages.
     this.#rpc = new JSONRPCServer({
       errorListener: (_message, error) =>
@@ -62,10 +64,18 @@
     // The caller detects a broken connection by its own timeout.
     socket.on("error", () => socket.destroy());
     readLines(socket, (line) => {
-      void this.#answer(socket, line);
+      this.#answer(socket, line).catch((error: unknown) => {
+        this.#log.write(
+          "peerCallMalformed",
+          { problem: String(error) },
+          EventPriority.Routine,
+        );
+        socket.destroy();
+      });
     });
   }
 
+  /** Answers a call. Rejects if the line is JSON but no call. */
   async #answer(socket: Socket, line: string): Promise<void> {
     const answer = await this.#rpc.receiveJSON(line);
     if (answer && !socket.destroyed) {
