gateway: A rejected response leaves no descriptor open

Callers would have seen a gateway that accepts nothing more: each response that is complete but not passed on (no signature, another request's id, an encoding) left the descriptor of its connection open for good, where the connection is closed after it.

Cause: by then the sending side has been closed, and libuv rejects a reset of such a connection; Node.js marks the socket destroyed and does not close it. Ruled out: listeners, timers and servers of the test; the handles that stay are client connections, destroyed ones.

Change: one function resets connections for requests, calls to the store and to servers, and links between routers. It destroys those whose sending side is closed, and those still being made, whose reset would wait.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,6 +7,7 @@
 } from "node:http";
 import type { RequestProtocol, ResponseMetadata } from "./ports.js";
 import { type ResponseBuffers, watchHead } from "./response_limits.js";
+import { resetSocket } from "./socket_reset.js";
 
 /** How an exchange ended. */
 export enum ExchangeEnd {
@@ -298,9 +299,7 @@
     if (this.#isFinished) return;
     this.#finish(end, { problem });
     const socket = this.#request?.socket;
-    // A reset discards unsent data, which the kernel could otherwise deliver
-    // once a network partition ends.
-    if (socket && !socket.destroyed) socket.resetAndDestroy();
+    if (socket) resetSocket(socket);
     this.#request?.destroy();
   }
 
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -5,4 +5,5 @@
 export { Gateway, type GatewayOptions } from "./gateway.js";
 export * from "./ports.js";
 export { watchHead } from "./response_limits.js";
+export { resetSocket } from "./socket_reset.js";
 export type { GatewaySettings, ListenAddress } from "./settings.js";
--- a/packages/gateway/src/peer_link.ts
+++ b/packages/gateway/src/peer_link.ts
@@ -9,6 +9,7 @@
 import { type EventLog, EventPriority } from "@jaytiller/kernel";
 import { bindServer } from "./listen.js";
 import type { ListenAddress } from "./settings.js";
+import { resetSocket } from "./socket_reset.js";
 
 /** RPC methods by name. Each takes and returns one object. */
 export type PeerMethods = Readonly<
@@ -133,8 +134,7 @@
   }
 
   close(): void {
-    // A reset discards data that a partition has kept from being delivered.
-    this.#socket?.resetAndDestroy();
+    if (this.#socket) resetSocket(this.#socket);
     this.#client?.rejectAllPendingRequests("connection closed");
     this.#socket = undefined;
     this.#client = undefined;
@@ -193,7 +193,7 @@
   return new Promise((resolve, reject) => {
     const socket = connect({ host: host!, port: Number(port), noDelay: true });
     const timer = setTimeout(() => {
-      socket.resetAndDestroy();
+      resetSocket(socket);
       reject(new PeerError(PeerErrorKind.Silent, "no connection in time"));
     }, CONNECT_TIMEOUT_MS);
     socket.once("connect", () => {
