gateway: A response that can't be passed on gets an answer of the router

Cause: `writeHead` throws after the call has counted as answered; the request then fails as a whole, and its connection is destroyed.

Change: such a status or header makes the response no response, so that the request goes the way of all broken ones; of a reason the characters that HTTP has no form for are left out, since the body is the server's own.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -88,6 +88,10 @@
 /** Largest response body that is forwarded, bytes. */
 const MAX_ANSWER_BYTES = 32 << 20;
 
+/** Least status of a final response. */
+const MIN_FINAL_STATUS = 200;
+/** Characters that a reason phrase must not have. */
+const CONTROL_CHARACTERS = /[^\t\x20-\x7e\x80-\xff]/g;
 /** Statuses of responses without body and `Content-Length`. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -335,6 +339,10 @@
   metadata: ResponseMetadata,
 ): string | undefined {
   const status = response.statusCode ?? 0;
+  if (status < MIN_FINAL_STATUS) return "status out of range";
+  if (response.rawHeaders.some((text, i) => i % 2 === 0 && text === "")) {
+    return "header without a name";
+  }
   const isSuccess = status >= 200 && status < 300;
   if (isSuccess && !metadata.isSigned) return "success without a signature";
   if (response.headers["content-encoding"]) return "encoded response body";
@@ -352,7 +360,7 @@
   if (isChunked) headers.push("Content-Length", String(body.length));
   return {
     status,
-    message: response.statusMessage ?? "",
+    message: (response.statusMessage ?? "").replace(CONTROL_CHARACTERS, ""),
     headers,
     body,
     isUnframed,
--- /dev/null
+++ b/packages/gateway/test/odd_response_test.ts
@@ -0,0 +1,64 @@
+/** Responses that are parsed, but that HTTP has no form to pass on. */
+import assert from "node:assert/strict";
+import { type IncomingMessage, ServerResponse } from "node:http";
+import { createServer } from "node:net";
+import { test } from "node:test";
+import { ExchangeEnd } from "../src/exchange.js";
+import { exchange, listen } from "./exchange_fixture.js";
+
+interface OddResponseCase {
+  readonly title: string;
+  readonly statusLine: string;
+  readonly header?: string;
+  readonly end: ExchangeEnd;
+}
+
+const ODD_RESPONSE_CASES: readonly OddResponseCase[] = [
+  {
+    title: "a reason with control characters",
+    statusLine: "200 O\x01K\x7f",
+    end: ExchangeEnd.Answered,
+  },
+  {
+    title: "a reason in another script",
+    statusLine: "200 \u4e00",
+    end: ExchangeEnd.Answered,
+  },
+  { title: "no reason", statusLine: "200 ", end: ExchangeEnd.Answered },
+  { title: "status 000", statusLine: "000 Odd", end: ExchangeEnd.Broken },
+  { title: "status 099", statusLine: "099 Odd", end: ExchangeEnd.Broken },
+  { title: "status 999", statusLine: "999 Odd", end: ExchangeEnd.Answered },
+  {
+    title: "a header without a name",
+    statusLine: "200 OK",
+    header: ": b",
+    end: ExchangeEnd.Broken,
+  },
+  {
+    title: "a header named like a member of all objects",
+    statusLine: "200 OK",
+    header: "__proto__: b",
+    end: ExchangeEnd.Answered,
+  },
+];
+
+// Guards against a client connection that is closed without an answer, because
+// what the server sent cannot be written.
+for (const { title, statusLine, header, end } of ODD_RESPONSE_CASES) {
+  test(`a response with ${title} ends as ${end}`, async () => {
+    const text = `HTTP/1.1 ${statusLine}\r\nx-id: a\r\nx-signature: s\r\n` +
+      (header ? `${header}\r\n` : "") + "content-length: 2\r\n\r\nok";
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => socket.end(text));
+    });
+    const result = await exchange({ address: await listen(server) });
+    server.close();
+    assert.equal(result.end, end, result.problem);
+    if (!result.answer) return;
+    const { status, message, headers } = result.answer;
+    const request = { method: "GET", httpVersionMajor: 1, httpVersionMinor: 1 };
+    new ServerResponse(request as IncomingMessage)
+      .writeHead(status, message, [...headers]);
+  });
+}
