gateway: An error that nothing has caught ends no process

Callers of review/1 lost every request on a gateway, because one step had failed. The class: any value of another writer that reaches a call which throws where nothing catches, in a timer, a listener or a dropped promise.

Cause: Node.js ends a process for such an error, and there was no policy of our own. Ten promises of the gateway are dropped (`void f()`); the decoders in front of them are only as good as what they think of.

Change: such an error is logged (`fault`, with its stack and origin), counted (`jaytiller_faults`), and the process goes on. State that the failed step may have left wrong is the coordinator's, so its term ends: the next one is made from the record in the store. A follower of the configuration reads again after a read that failed in the middle.

--- a/packages/gateway/src/configuration_follower.ts
+++ b/packages/gateway/src/configuration_follower.ts
@@ -90,8 +90,16 @@
    * read then uses a new connection: any kept one may be silent.
    */
   async #follow(waitMs: number): Promise<ReadEnd> {
-    const { reader, log, applyMs } = this.#options;
     this.#isReading = true;
+    try {
+      return await this.#readOnce(waitMs);
+    } finally {
+      this.#isReading = false;
+    }
+  }
+
+  async #readOnce(waitMs: number): Promise<ReadEnd> {
+    const { reader, log, applyMs } = this.#options;
     const doublings = Math.min(this.#overdueReads, MAX_DOUBLINGS);
     const overdueMs = waitMs + OVERDUE_SHARE * applyMs * 2 ** doublings;
     const read = reader.readConfiguration({
@@ -112,7 +120,6 @@
       const pauseMs = STORE_RETRY_DELAY_MS * (1 + Math.random());
       this.#nextReadMs = performance.now() + pauseMs;
     }
-    this.#isReading = false;
     return end;
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,8 @@
 /** Longest delay of the first readiness while keys have no owners, ms. */
 const MAX_OWNERS_WAIT_MS = 4_000;
 const STOP_TIMEOUT_MS = 3_000;
+/** Longest description of an error in the log, characters. */
+const MAX_LOGGED_ERROR_LENGTH = 2_000;
 /** Part of the drain time for which only a leaving server's keys use it. */
 const LEAVING_USE_SHARE = 0.5;
 
@@ -68,6 +70,7 @@
   readonly #startedAt = performance.now();
   #stopping: Promise<void> | undefined;
   #wasReady = false;
+  #faults = 0;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -178,6 +181,18 @@
     await this.#lifeCycle.stopAll({ timeoutMs: STOP_TIMEOUT_MS });
   }
 
+  /**
+   * Handles an error that nothing has caught; `origin` says how it surfaced.
+   * The process goes on, because its end would cut off all requests. State that
+   * a failed step may have left wrong is the coordinator's: its term ends, and
+   * the next one is made from the store's record.
+   */
+  handleFault(error: unknown, origin: string): void {
+    this.#faults += 1;
+    this.#options.log.record("fault", { origin, problem: formatError(error) });
+    this.#member.endOwnTerm("a fault");
+  }
+
   /** Whether this process is the coordinator. */
   get isCoordinator(): boolean {
     return this.#member.isCoordinator;
@@ -276,6 +291,7 @@
       ["jaytiller_coordinator", this.#member.isCoordinator ? 1 : 0],
       ["jaytiller_term", this.#member.term],
       ["jaytiller_routers", this.#member.routerCount],
+      ["jaytiller_faults", this.#faults],
       ["jaytiller_loop_stalls", this.#loop.stalls],
       ["jaytiller_loop_stalled_seconds", this.#loop.stalledMs / 1000],
     ];
@@ -284,6 +300,12 @@
   }
 }
 
+/** Formats an error with its stack, within the length of a log line. */
+function formatError(error: unknown): string {
+  const text = error instanceof Error ? error.stack : undefined;
+  return (text ?? String(error)).slice(0, MAX_LOGGED_ERROR_LENGTH);
+}
+
 function makeRouterRef(settings: GatewaySettings): RouterRef {
   const { host, port } = settings.listen.peers;
   return {
--- a/packages/gateway/src/member.ts
+++ b/packages/gateway/src/member.ts
@@ -131,6 +131,11 @@
     this.#localCoordinator?.announceChanges();
   }
 
+  /** Ends the term of this router, if it is the coordinator. */
+  endOwnTerm(reason: string): void {
+    this.#localCoordinator?.end(reason);
+  }
+
   get isCoordinator(): boolean {
     return this.#localCoordinator !== undefined;
   }
