gateway: A whole response is passed on, whatever follows it

Callers got 502, which promises nothing, for requests that had run and been answered: bytes that are no response, in the same read as the end of a whole one, made it a broken one.

Cause: the parser's error reaches the request before the end of the response reaches its reader. A second response did no harm, and has a test.

Change: an error of a request whose response is complete is left to the connection, which Node.js has closed by then.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -157,7 +157,7 @@
   #request: ClientRequest | undefined;
   #isConnected = false;
   #isWritten = false;
-  #hasResponse = false;
+  #response: IncomingMessage | undefined;
   #isFinished = false;
   #connectTimer: NodeJS.Timeout | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -241,17 +241,19 @@
     request.on("response", (response) => this.#readAnswer(response));
     request.on("error", (error: NodeJS.ErrnoException) => {
       const problem = error.code ?? error.message;
+      // Bytes behind a complete response belong to no request.
+      if (this.#response?.complete) return;
       if (!this.#isConnected) this.#fail(ExchangeEnd.NotSent, problem);
       else this.#failWritten(ExchangeEnd.Broken, problem);
     });
     request.on("close", () => {
       // A response that has begun reports its own end or failure.
-      if (!this.#hasResponse) this.#failWritten(ExchangeEnd.Broken, "closed");
+      if (!this.#response) this.#failWritten(ExchangeEnd.Broken, "closed");
     });
   }
 
   #readAnswer(response: IncomingMessage): void {
-    this.#hasResponse = true;
+    this.#response = response;
     const chunks: Buffer[] = [];
     let size = 0;
     response.on("data", (chunk: Buffer) => {
--- a/packages/gateway/test/odd_response_test.ts
+++ b/packages/gateway/test/odd_response_test.ts
@@ -1,10 +1,10 @@
 /** Responses that are parsed, but that HTTP has no form to pass on. */
 import assert from "node:assert/strict";
-import { type IncomingMessage, ServerResponse } from "node:http";
+import { Agent, type IncomingMessage, ServerResponse } from "node:http";
 import { createServer } from "node:net";
 import { test } from "node:test";
 import { ExchangeEnd } from "../src/exchange.js";
-import { exchange, listen } from "./exchange_fixture.js";
+import { exchange, HEAD, listen } from "./exchange_fixture.js";
 
 interface OddResponseCase {
   readonly title: string;
@@ -62,3 +62,29 @@
       .writeHead(status, message, [...headers]);
   });
 }
+
+const WHOLE = `${HEAD}content-length: 2\r\n\r\nok`;
+
+const REST_CASES: Readonly<Record<string, string>> = {
+  "bytes that are no response": "garbage\r\n\r\n",
+  "a second response": WHOLE,
+  "a second response that is cut short": WHOLE.slice(0, 20),
+  "an interim response": "HTTP/1.1 102 Processing\r\n\r\n",
+};
+
+// Guards against a complete response that is not passed on because of what
+// follows it, which belongs to no request.
+for (const [title, rest] of Object.entries(REST_CASES)) {
+  test(`a whole response before ${title} is passed on`, async () => {
+    const server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", () => socket.write(WHOLE + rest));
+    });
+    const agent = new Agent({ keepAlive: true });
+    const result = await exchange({ address: await listen(server), agent });
+    agent.destroy();
+    server.close();
+    assert.equal(result.end, ExchangeEnd.Answered, result.problem);
+    assert.equal(result.answer?.body.toString(), "ok");
+  });
+}
