--- a/packages/gateway/src/server_agents.ts
+++ b/packages/gateway/src/server_agents.ts
@@ -26,7 +26,7 @@
  * Keeps connections to one server alive. Data that arrives on an idle
  * connection belongs to no request, so the connection is closed.
  */
-class ServerAgent extends KeepAliveAgent {
+export class ServerAgent extends KeepAliveAgent {
   readonly #idleDataListeners = new WeakMap<Duplex, () => void>();
 
   override keepSocketAlive(socket: Duplex): boolean {
