gateway: Bytes without end take neither the memory nor the time of others

Measured by the users: with two servers of a service that answer in chunks of one byte without end, a gateway used up to 367 MiB, one ended by itself (SIGABRT), and a third of the orders of a sound service beside it were answered.

Cause: of a chunk its bytes were counted, and 256 more. Each is an object of its own that also keeps the 64 KiB it was read with, and costs a turn through parser and stream. A body of 32 MiB in such chunks is 33 million of them; and a server that sent them was only one that had failed once.

More than 4,096 chunks whose mean is below 4 bytes are no answer. A server that sends too long a head, too many tiny chunks, or far more than its answer, is avoided at once, as one that accepts no connection.

Tried and not kept: only pausing the connection, which a response undoes as soon as it can take more (150 answers in 4 s beside chunks of 16 bytes).

--- /dev/null
+++ b/packages/gateway/src/body_chunks.ts
@@ -0,0 +1,70 @@
+/** Collects the chunks of a body. @module */
+
+/** Smallest chunk that is kept as it is instead of being copied, bytes. */
+const MIN_KEPT_BYTES = 4_096;
+/** Size of the blocks that smaller chunks are copied into, bytes. */
+const BLOCK_BYTES = 16_384;
+
+/**
+ * Chunks of one body. Small ones are copied together: each is a view of the
+ * block that was read from the connection, and would keep all of it.
+ */
+export class BodyChunks {
+  readonly #parts: Buffer[] = [];
+  #block: Buffer | undefined;
+  #blockUsed = 0;
+  #size = 0;
+  #count = 0;
+
+  /** Size of the body so far, bytes. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** Number of chunks so far. */
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Adds a chunk; returns the memory that was taken for it, bytes. */
+  add(chunk: Buffer): number {
+    this.#size += chunk.length;
+    this.#count += 1;
+    const isKept = chunk.length >= MIN_KEPT_BYTES &&
+      2 * chunk.length >= chunk.buffer.byteLength;
+    if (!isKept) return this.#copy(chunk);
+    this.#closeBlock();
+    this.#parts.push(chunk);
+    return chunk.buffer.byteLength;
+  }
+
+  /** Returns the body so far as one buffer. */
+  concat(): Buffer {
+    this.#closeBlock();
+    return this.#parts.length === 1
+      ? this.#parts[0]!
+      : Buffer.concat(this.#parts);
+  }
+
+  #copy(chunk: Buffer): number {
+    let taken = 0;
+    for (let at = 0; at < chunk.length;) {
+      if (!this.#block) {
+        this.#block = Buffer.allocUnsafeSlow(BLOCK_BYTES);
+        taken += BLOCK_BYTES;
+      }
+      const copied = chunk.copy(this.#block, this.#blockUsed, at);
+      this.#blockUsed += copied;
+      at += copied;
+      if (this.#blockUsed === BLOCK_BYTES) this.#closeBlock();
+    }
+    return taken;
+  }
+
+  #closeBlock(): void {
+    if (!this.#block) return;
+    this.#parts.push(this.#block.subarray(0, this.#blockUsed));
+    this.#block = undefined;
+    this.#blockUsed = 0;
+  }
+}
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -8,6 +8,7 @@
   type ServerEntry,
   WeightedRoundRobin,
 } from "@jaytiller/routing";
+import { ChunkPacer } from "./chunk_pacer.js";
 import { ClientCall, RouterStatus, sendEmptyAnswer } from "./client_call.js";
 import type { PipelinedRequest } from "./client_pipeline.js";
 import {
@@ -64,6 +65,7 @@
   readonly #splits = new WeightedRoundRobin();
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #buffers = new ResponseBuffers();
+  readonly #pacer = new ChunkPacer();
   readonly #evidence: ServerEvidence;
   readonly #requestLog: RequestLog;
   #open = 0;
@@ -247,6 +249,7 @@
       attemptId: call.metadata.attemptId,
       timeoutMs: leftMs + ANSWER_GRACE_MS,
       buffers: this.#buffers,
+      pacer: this.#pacer,
       signal: call.signal,
       // Once written, a request that may run only once runs to its end.
       isRepeatable,
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,8 +5,14 @@
   type IncomingMessage,
   request as sendRequest,
 } from "node:http";
+import { BodyChunks } from "./body_chunks.js";
+import type { ChunkPacer } from "./chunk_pacer.js";
 import type { RequestProtocol, ResponseMetadata } from "./ports.js";
-import { type ResponseBuffers, watchHead } from "./response_limits.js";
+import {
+  hasTooManyChunks,
+  type ResponseBuffers,
+  watchHead,
+} from "./response_limits.js";
 import { resetSocket } from "./socket_reset.js";
 
 /** How an exchange ended. */
@@ -46,6 +52,8 @@
   readonly end: ExchangeEnd;
   readonly answer?: ServerAnswer;
   readonly metadata?: ResponseMetadata;
+  /** Whether the server sent bytes that would not have ended. */
+  readonly isEndless?: boolean;
   /** Why there is no usable response, for the log. */
   readonly problem?: string;
   readonly latencyMs: number;
@@ -65,6 +73,8 @@
   readonly timeoutMs: number;
   /** Counts the bodies of all exchanges. */
   readonly buffers: ResponseBuffers;
+  /** Bounds the time that all exchanges take for small chunks. */
+  readonly pacer: ChunkPacer;
   /**
    * Aborted once the response is no longer needed. Ends the exchange if nothing
    * was written yet, or if the request may run again.
@@ -88,6 +98,11 @@
 /** Largest response body that is forwarded, bytes. */
 const MAX_ANSWER_BYTES = 32 << 20;
 
+/**
+ * Bytes beside a body, its head and what follows it, from which they count as
+ * endless. One read holds at most 65,536 bytes.
+ */
+const MAX_SURPLUS_BYTES = 49_152;
 /** Least status of a final response. */
 const MIN_FINAL_STATUS = 200;
 /** Characters that a reason phrase must not have. */
@@ -159,6 +174,10 @@
   #isWritten = false;
   #response: IncomingMessage | undefined;
   #isFinished = false;
+  /** Bytes that the connection had received before the request. */
+  #bytesReadBefore = 0;
+  /** Whether the connection is not read for now. */
+  #isPaused = false;
   #connectTimer: NodeJS.Timeout | undefined;
   #timer: NodeJS.Timeout | undefined;
 
@@ -184,7 +203,7 @@
     }
     watchHead(
       this.#request,
-      () => this.#failWritten(ExchangeEnd.Broken, "response head too large"),
+      () => this.#failEndless("response head too large"),
     );
     this.#watchRequest(this.#request);
     options.signal.addEventListener("abort", this.#onAbort);
@@ -196,6 +215,8 @@
 
   readonly #body = {
     discard: () => this.#fail(ExchangeEnd.Broken, "no memory for the answer"),
+    pause: () => this.#setPaused(true),
+    resume: () => this.#setPaused(false),
   };
 
   readonly #onAbort = () => {
@@ -219,6 +240,7 @@
     await this.#options.readPendingInput();
     if (this.#isFinished) return;
     this.#isWritten = true;
+    this.#bytesReadBefore = this.#request!.socket?.bytesRead ?? 0;
     const { body, onWrite } = this.#options;
     onWrite();
     if (body.length > 0) this.#request!.end(body);
@@ -252,18 +274,30 @@
     });
   }
 
+  #setPaused(isPaused: boolean): void {
+    this.#isPaused = isPaused;
+    const socket = this.#request?.socket;
+    if (isPaused) socket?.pause();
+    else socket?.resume();
+  }
+
   #readAnswer(response: IncomingMessage): void {
     this.#response = response;
-    const chunks: Buffer[] = [];
-    let size = 0;
+    // A response resumes its connection whenever it can take more.
+    const readMore = response._read.bind(response);
+    response._read = (size) => {
+      if (!this.#isPaused) readMore(size);
+    };
+    const chunks = new BodyChunks();
+    const { buffers, pacer } = this.#options;
     response.on("data", (chunk: Buffer) => {
       if (this.#isFinished) return;
-      chunks.push(chunk);
-      size += chunk.length;
-      this.#options.buffers.add(this.#body, chunk);
-      if (size > MAX_ANSWER_BYTES) {
-        this.#fail(ExchangeEnd.Broken, "answer too large");
+      buffers.add(this.#body, chunks.add(chunk));
+      if (hasTooManyChunks(chunks)) return this.#failEndless("too many chunks");
+      if (chunks.size > MAX_ANSWER_BYTES) {
+        return this.#fail(ExchangeEnd.Broken, "answer too large");
       }
+      pacer.count(this.#body, chunks.count);
     });
     response.on("error", (error) => {
       this.#fail(ExchangeEnd.Broken, error.message);
@@ -273,7 +307,7 @@
       if (!response.complete) {
         return this.#fail(ExchangeEnd.Broken, "answer cut short");
       }
-      this.#checkAnswer(response, Buffer.concat(chunks));
+      this.#checkAnswer(response, chunks.concat());
     });
   }
 
@@ -292,7 +326,17 @@
     const problem = findProblem(response, metadata);
     if (problem) return this.#fail(ExchangeEnd.Broken, problem);
     const answer = makeAnswer(response, body);
-    this.#finish(ExchangeEnd.Answered, { metadata, answer });
+    const isEndless = this.#hasSurplus(body);
+    this.#finish(ExchangeEnd.Answered, { metadata, answer, isEndless });
+  }
+
+  /** Returns whether far more than the response arrived with it. */
+  #hasSurplus(body: Buffer): boolean {
+    const socket = this.#request?.socket;
+    // Bytes that belong to no request have ended the connection.
+    if (!socket?.destroyed) return false;
+    const received = socket.bytesRead - this.#bytesReadBefore;
+    return received - body.length > MAX_SURPLUS_BYTES;
   }
 
   /** Ends the exchange; it ends as `Unsent` if nothing was written. */
@@ -300,10 +344,16 @@
     this.#fail(this.#isWritten ? end : ExchangeEnd.Unsent, problem);
   }
 
+  /** Ends the exchange with a server that sends what no response has. */
+  #failEndless(problem: string): void {
+    if (this.#isWritten) this.#fail(ExchangeEnd.Broken, problem, true);
+    else this.#fail(ExchangeEnd.Unsent, problem);
+  }
+
   /** Ends the exchange without a response and destroys the connection. */
-  #fail(end: ExchangeEnd, problem: string): void {
+  #fail(end: ExchangeEnd, problem: string, isEndless = false): void {
     if (this.#isFinished) return;
-    this.#finish(end, { problem });
+    this.#finish(end, { problem, ...(isEndless ? { isEndless } : {}) });
     const socket = this.#request?.socket;
     if (socket) resetSocket(socket);
     this.#request?.destroy();
@@ -316,6 +366,7 @@
     clearTimeout(this.#connectTimer);
     this.#options.signal.removeEventListener("abort", this.#onAbort);
     this.#options.buffers.remove(this.#body);
+    this.#options.pacer.remove(this.#body);
     const latencyMs = performance.now() - this.#startedAt;
     this.#resolve({ end, latencyMs, ...rest });
   }
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,7 +4,8 @@
  */
 export { Gateway, type GatewayOptions } from "./gateway.js";
 export * from "./ports.js";
-export { watchHead } from "./response_limits.js";
+export { BodyChunks } from "./body_chunks.js";
+export { hasTooManyChunks, watchHead } from "./response_limits.js";
 export { ServerAgent } from "./server_agents.js";
 export { resetSocket } from "./socket_reset.js";
 export type { GatewaySettings, ListenAddress } from "./settings.js";
--- a/packages/gateway/src/request_body.ts
+++ b/packages/gateway/src/request_body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a client's request. @module */
 import type { IncomingMessage } from "node:http";
+import { BodyChunks } from "./body_chunks.js";
 
 /** How reading a body ended. */
 export enum BodyEnd {
@@ -29,19 +30,17 @@
     return Promise.resolve({ end: BodyEnd.Whole, body: EMPTY_BODY });
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const chunks = new BodyChunks();
     const finish = (end: BodyEnd) => {
       request.removeListener("data", onData);
       resolve({
         end,
-        body: end === BodyEnd.Whole ? concatChunks(chunks) : EMPTY_BODY,
+        body: end === BodyEnd.Whole ? chunks.concat() : EMPTY_BODY,
       });
     };
     const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size > maxBytes) finish(BodyEnd.TooLarge);
+      chunks.add(chunk);
+      if (chunks.size > maxBytes) finish(BodyEnd.TooLarge);
     };
     request.on("data", onData);
     request.once("end", () => finish(BodyEnd.Whole));
@@ -54,7 +53,3 @@
   return headers["transfer-encoding"] === undefined &&
     (headers["content-length"] ?? "0") === "0";
 }
-
-function concatChunks(chunks: readonly Buffer[]): Buffer {
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/packages/gateway/src/response_limits.ts
+++ b/packages/gateway/src/response_limits.ts
@@ -1,13 +1,16 @@
 /** Limits of what a peer may send as a response. @module */
 import type { ClientRequest } from "node:http";
+import type { BodyChunks } from "./body_chunks.js";
 
 /**
  * Largest number of bytes before a response, with interim responses and empty
  * lines, for which the HTTP parser has no limit.
  */
 const MAX_HEAD_BYTES = 65_536;
-/** Memory that each received chunk takes beside its bytes. */
-const CHUNK_OVERHEAD_BYTES = 256;
+/** Chunks of a body that may have any size. */
+const MAX_TINY_CHUNKS = 4_096;
+/** Least mean size of the chunks beyond these, bytes. */
+const MIN_CHUNK_BYTES = 4;
 /** Memory that all responses in progress may take, bytes. */
 const MAX_BUFFERED_BYTES = 48 << 20;
 
@@ -35,6 +38,14 @@
   });
 }
 
+/**
+ * Returns whether a body comes in more tiny chunks than any response has. They
+ * cost time without end, and hardly add to the size of the body.
+ */
+export function hasTooManyChunks({ count, size }: BodyChunks): boolean {
+  return count > MAX_TINY_CHUNKS + size / MIN_CHUNK_BYTES;
+}
+
 /** Body of a response in progress. */
 export interface BufferedBody {
   /** Ends the exchange, because its body takes the most memory. */
@@ -55,8 +66,8 @@
     return this.#totalBytes;
   }
 
-  add(body: BufferedBody, chunk: Buffer): void {
-    const bytes = chunk.length + CHUNK_OVERHEAD_BYTES;
+  /** Adds memory that was taken for a body. */
+  add(body: BufferedBody, bytes: number): void {
     this.#sizes.set(body, (this.#sizes.get(body) ?? 0) + bytes);
     this.#totalBytes += bytes;
     if (this.#totalBytes > MAX_BUFFERED_BYTES) this.#findLargest().discard();
--- a/packages/gateway/src/server_evidence.ts
+++ b/packages/gateway/src/server_evidence.ts
@@ -92,7 +92,7 @@
   ): void {
     const { crashes } = this.#stats;
     if (result.end === ExchangeEnd.NotSent) crashes.markDown(server.id, nowMs);
-    if (result.end === ExchangeEnd.Broken) {
+    if (result.end === ExchangeEnd.Broken && !result.isEndless) {
       crashes.recordBroken({
         fingerprint: computeFingerprint(call, body),
         server: server.id,
@@ -123,7 +123,9 @@
   (result: ExchangeResult) => ExchangeOutcome
 > = {
   [ExchangeEnd.Answered]: (r) =>
-    (r.answer?.status ?? 0) >= 500
+    r.isEndless
+      ? ExchangeOutcome.Unreachable
+      : (r.answer?.status ?? 0) >= 500
       ? ExchangeOutcome.Failure
       : ExchangeOutcome.Answer,
   [ExchangeEnd.NotRun]: (r) =>
@@ -132,7 +134,8 @@
       : ExchangeOutcome.None,
   [ExchangeEnd.NotSent]: () => ExchangeOutcome.Unreachable,
   [ExchangeEnd.Unsent]: () => ExchangeOutcome.None,
-  [ExchangeEnd.Broken]: () => ExchangeOutcome.Failure,
+  [ExchangeEnd.Broken]: (r) =>
+    r.isEndless ? ExchangeOutcome.Unreachable : ExchangeOutcome.Failure,
   [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Missing,
   [ExchangeEnd.Cancelled]: () => ExchangeOutcome.None,
 };
--- a/packages/gateway/test/exchange_fixture.ts
+++ b/packages/gateway/test/exchange_fixture.ts
@@ -1,6 +1,7 @@
 /** Exchanges of tests with servers that write any bytes. */
 import { Agent } from "node:http";
 import type { AddressInfo, Server } from "node:net";
+import { ChunkPacer } from "../src/chunk_pacer.js";
 import {
   type ExchangeOptions,
   type ExchangeResult,
@@ -39,6 +40,7 @@
     attemptId: "a",
     timeoutMs: TIMEOUT_MS,
     buffers: new ResponseBuffers(),
+    pacer: new ChunkPacer(),
     signal: new AbortController().signal,
     isRepeatable: true,
     readPendingInput: () => undefined,
--- a/packages/placement/src/server_stats.ts
+++ b/packages/placement/src/server_stats.ts
@@ -18,7 +18,7 @@
   Missing = "missing",
   /** The server failed: it returned an error, or its response broke off. */
   Failure = "failure",
-  /** No connection, or no response in time. */
+  /** No connection, or bytes without end: the server is avoided at once. */
   Unreachable = "silence",
   /** No indication, for example because the client disconnected. */
   None = "none",
