gateway: The wait for a read that no one answers leaves time for one more

Callers would have met CONFIG: a version confirmed right after a silent outage of the store was in force up to 2,275 ms later, bound 2,000 ms.

Cause: each read of the configuration without an answer doubles the wait for the next, up to 2 s. One that is sent in the last moments of the outage is never answered, and a router waits for it all that time, although the store answers again; above 1.5 s the call fails first, and a pause of up to 1 s follows. Ruled out: kept connections, since such a read opens a new one, and the coordinator, since all routers read for themselves by then.

Change: the wait is doubled twice at most, to half of the time in which a version has to be in force.

--- a/packages/gateway/src/configuration_follower.ts
+++ b/packages/gateway/src/configuration_follower.ts
@@ -17,8 +17,11 @@
 }
 
 const CHECK_INTERVAL_MS = 100;
-/** Largest number of times that the wait for an answer is doubled. */
-const MAX_DOUBLINGS = 3;
+/**
+ * Largest number of times that the wait for an answer is doubled. The longest
+ * wait has to leave time for one more read: an outage may end within it.
+ */
+const MAX_DOUBLINGS = 2;
 
 /** Parts of the time within which a configuration has to be in force. */
 const WAIT_SHARE = 0.5;
