gateway: A server that sent bytes without end is tried with one request

Beside load (a third of a core for the gateway) the sound service's answers cost 2.3 times the processor time while two others sent chunks of one byte.

Cause: each such flood costs 25 ms, nearly all in the parser, which reads the 64 KiB it has been given to the end. A profile shows it; the limit of chunks doesn't matter then, but the number of floods does. They came in herds: all requests that waited, whenever the time was over for which the server was avoided.

Change: such a server gets one request at a time until it answers. The limit of tiny chunks is 1,024.

--- a/packages/gateway/src/response_limits.ts
+++ b/packages/gateway/src/response_limits.ts
@@ -8,7 +8,7 @@
  */
 const MAX_HEAD_BYTES = 65_536;
 /** Chunks of a body that may have any size. */
-const MAX_TINY_CHUNKS = 4_096;
+const MAX_TINY_CHUNKS = 1_024;
 /** Least mean size of the chunks beyond these, bytes. */
 const MIN_CHUNK_BYTES = 4;
 /** Memory that all responses in progress may take, bytes. */
--- a/packages/gateway/src/server_evidence.ts
+++ b/packages/gateway/src/server_evidence.ts
@@ -124,7 +124,7 @@
 > = {
   [ExchangeEnd.Answered]: (r) =>
     r.isEndless
-      ? ExchangeOutcome.Unreachable
+      ? ExchangeOutcome.Endless
       : (r.answer?.status ?? 0) >= 500
       ? ExchangeOutcome.Failure
       : ExchangeOutcome.Answer,
@@ -135,7 +135,7 @@
   [ExchangeEnd.NotSent]: () => ExchangeOutcome.Unreachable,
   [ExchangeEnd.Unsent]: () => ExchangeOutcome.None,
   [ExchangeEnd.Broken]: (r) =>
-    r.isEndless ? ExchangeOutcome.Unreachable : ExchangeOutcome.Failure,
+    r.isEndless ? ExchangeOutcome.Endless : ExchangeOutcome.Failure,
   [ExchangeEnd.TimedOut]: () => ExchangeOutcome.Missing,
   [ExchangeEnd.Cancelled]: () => ExchangeOutcome.None,
 };
--- a/packages/placement/src/server_stats.ts
+++ b/packages/placement/src/server_stats.ts
@@ -18,8 +18,10 @@
   Missing = "missing",
   /** The server failed: it returned an error, or its response broke off. */
   Failure = "failure",
-  /** No connection, or bytes without end: the server is avoided at once. */
+  /** No connection, or no response in time. */
   Unreachable = "silence",
+  /** The server sent bytes without end, which take time from all others. */
+  Endless = "endless",
   /** No indication, for example because the client disconnected. */
   None = "none",
 }
@@ -54,6 +56,8 @@
   #failuresAtMs = 0;
   #unreachableCount = 0;
   #backoffEndMs = -Infinity;
+  /** Whether the server has yet to answer after bytes without end. */
+  #isProbed = false;
   readonly #limit = new ConcurrencyLimit();
   /** Share of the server's capacity at the last `begin`. */
   #share = 1;
@@ -108,15 +112,19 @@
       [ExchangeOutcome.Missing]: () => this.#recordMissing(facts),
       [ExchangeOutcome.Failure]: () => this.#recordFailure(facts.nowMs),
       [ExchangeOutcome.Unreachable]: () => this.#recordUnreachable(facts.nowMs),
+      [ExchangeOutcome.Endless]: () => this.#recordEndless(facts.nowMs),
       [ExchangeOutcome.None]: () => {},
     };
     handlers[sign]();
     this.inFlight -= 1;
   }
 
-  /** Returns whether the server is avoided after missing responses. */
+  /**
+   * Returns whether the server is avoided after missing responses. One that has
+   * sent bytes without end gets a single request at a time until it answers.
+   */
   isUnreachable(nowMs: number): boolean {
-    return nowMs < this.#backoffEndMs;
+    return nowMs < this.#backoffEndMs || this.#isProbed && this.inFlight > 0;
   }
 
   /** Returns the number of recent failures, weighted by age. */
@@ -148,6 +156,7 @@
     const { latencyMs, load, nowMs } = facts;
     this.#unreachableCount = 0;
     this.#backoffEndMs = -Infinity;
+    this.#isProbed = false;
     const queued = load ? load.waiting > 0 : false;
     if (!queued && latencyMs !== undefined) this.#recordServiceTime(latencyMs);
     const { inFlight } = this;
@@ -201,6 +210,11 @@
     this.#unreachableCount = Math.min(this.#unreachableCount + 1, 4);
     this.#backoffEndMs = nowMs + Math.min(backoffMs, MAX_BACKOFF_MS);
   }
+
+  #recordEndless(nowMs: number): void {
+    this.#recordUnreachable(nowMs);
+    this.#isProbed = true;
+  }
 }
 
 /** Measurements at the end of an exchange. */
