--- a/packages/gateway/test/odd_response_test.ts
+++ b/packages/gateway/test/odd_response_test.ts
@@ -88,3 +88,19 @@
     assert.equal(result.answer?.body.toString(), "ok");
   });
 }
+
+// Guards against a refusal of a response without a body because of the length
+// that the body would have.
+test("a response to HEAD may state any length", async () => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once(
+      "data",
+      () => socket.end(`${HEAD}content-length: 99999999999\r\n\r\n`),
+    );
+  });
+  const address = await listen(server);
+  const result = await exchange({ address, method: "HEAD" });
+  server.close();
+  assert.equal(result.end, ExchangeEnd.Answered, result.problem);
+});
