review: Uploads that a server refuses early stay in memory

Cause: an exchange that ends as not run leaves its request writing; the parts that the server has not read are kept, and no limit counts them any more.

Case: review/10. One client of each of two gateways uploads 48 MiB at a time; the server refuses each upload at its head and reads the body 20 s later.

--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -217,9 +217,13 @@
   ends = [];
   /** Most memory that the process has had, MB. */
   peakMb = 0;
+  /** Whether the process is killed above its memory, as the platform does. */
+  limitsMemory = false;
   #path;
   #child;
   #isStopped = false;
+  #isKilled = false;
+  #cause;
   #timer;
 
   constructor(name, ports, path) {
@@ -244,7 +248,9 @@
     this.#child = child;
     child.once("exit", (code, signal) => {
       if (this.#isStopped) return;
-      this.ends.push(signal ?? `code ${code}`);
+      this.ends.push(this.#cause ?? signal ?? `code ${code}`);
+      this.#isKilled = false;
+      this.#cause = undefined;
       setTimeout(() => {
         if (!this.#isStopped) this.#spawn();
       }, RESTART_DELAY_MS);
@@ -256,12 +262,21 @@
     try {
       const status = readFileSync(`/proc/${this.#child.pid}/status`, "utf8");
       const kb = Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? 0);
-      this.peakMb = Math.max(this.peakMb, Math.round(kb / 1_024));
+      const mb = Math.round(kb / 1_024);
+      this.peakMb = Math.max(this.peakMb, mb);
+      if (this.limitsMemory && mb > MEMORY_MB) this.#killForMemory(mb);
     } catch {
       // The process has ended since.
     }
   }
 
+  #killForMemory(mb) {
+    if (this.#isKilled) return;
+    this.#isKilled = true;
+    this.#cause = `memory of ${mb} MB`;
+    this.#child.kill("SIGKILL");
+  }
+
   async isReady() {
     const text = await exchange(
       this.ports.ready,
