--- a/review/kit-2/deployment.mjs
+++ b/review/kit-2/deployment.mjs
@@ -17,11 +17,17 @@
 export const MAX_DESCRIPTORS = 4_100;
 /** Limit on the head of a request, as in the pages' example, bytes. */
 export const MAX_HEADER_BYTES = 16_384;
+/** The route's time for payments, as the site has it for orders, ms. */
+export const PAYMENT_TIMEOUT_MS = 1_500;
 /** Whether the disruption takes place. */
 export const isTroubled = process.env["TROUBLE"] !== "0";
 
 const RESTART_DELAY_MS = 300;
 const READY_TIMEOUT_MS = 15_000;
+/** Time after which a script ends in any case, ms. */
+const MAX_RUN_MS = 115_000;
+
+const PAYMENT_DEADLINE_MS = 3_000;
 
 export const EXIT_HELD = 0;
 export const EXIT_BROKEN = 1;
@@ -199,11 +205,30 @@
           service: "writes",
           maxAttempts: 2,
         },
+        {
+          ...route,
+          name: "r-4",
+          pathPrefix: "/pay/",
+          kind: "non_idempotent",
+          timeoutMs: PAYMENT_TIMEOUT_MS,
+          service: "reads",
+          maxAttempts: 2,
+        },
       ],
     }],
   };
 }
 
+/** Processes that were started here; none outlives the script. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+  process.on(signal, () => process.exit(EXIT_NOT_RUN));
+}
+setTimeout(() => process.exit(EXIT_NOT_RUN), MAX_RUN_MS).unref();
+
 /** Whether a process that was started here still runs. */
 function isRunning(child) {
   return child.exitCode === null && child.signalCode === null;
@@ -246,7 +271,9 @@
       stdio: "ignore",
     });
     this.#child = child;
+    children.add(child);
     child.once("exit", (code, signal) => {
+      children.delete(child);
       if (this.#isStopped) return;
       this.ends.push(this.#cause ?? signal ?? `code ${code}`);
       this.#isKilled = false;
@@ -405,6 +432,124 @@
   }
 }
 
+/**
+ * Clients that send payments, which may run only once, one after the other on
+ * connections that they keep.
+ */
+export class PaymentCallers {
+  /** Payments that have ended: answered, closed by the gateway or given up. */
+  payments = [];
+  #port;
+  #name;
+  #sockets = new Set();
+  #sent = 0;
+  #isStopped = false;
+
+  constructor({ name, ports }, { clients = 8 } = {}) {
+    this.#port = ports.front;
+    this.#name = name;
+    for (let i = 0; i < clients; i++) this.#open();
+  }
+
+  #open() {
+    if (this.#isStopped) return;
+    const socket = connect({ port: this.#port, host: HOST });
+    this.#sockets.add(socket);
+    const state = { text: "", current: undefined, answers: 0 };
+    socket.setEncoding("latin1");
+    socket.on("error", () => {});
+    socket.on("data", (part) => this.#receive(socket, state, part));
+    socket.once("connect", () => this.#send(socket, state));
+    socket.once("close", () => {
+      this.#end(state, "closed");
+      this.#sockets.delete(socket);
+      setTimeout(() => this.#open(), 100);
+    });
+  }
+
+  #send(socket, state) {
+    if (this.#isStopped || socket.destroyed) return;
+    this.#sent += 1;
+    const id = `${this.#name}-payment-${this.#sent}`;
+    const timer = setTimeout(() => {
+      this.#end(state, "none");
+      socket.destroy();
+    }, PAYMENT_DEADLINE_MS);
+    const sentMs = performance.now();
+    state.current = { id, sentMs, timer, isKept: state.answers > 0 };
+    socket.write(
+      "POST /pay/1 HTTP/1.1\r\nHost: a.example\r\n" +
+        `Attempt-Id: ${id}\r\nDeadline-Ms: ${PAYMENT_DEADLINE_MS}\r\n` +
+        "Content-Length: 0\r\n\r\n",
+    );
+  }
+
+  #receive(socket, state, part) {
+    state.text += part;
+    const end = state.text.indexOf("\r\n\r\n") + 4;
+    if (end < 4) return;
+    const length = Number(/\r\ncontent-length: (\d+)/i.exec(state.text)?.[1]);
+    if (state.text.length < end + length) return;
+    const status = readStatus(state.text);
+    const isLast = /\r\nconnection: close/i.test(state.text.slice(0, end));
+    state.text = "";
+    state.answers += 1;
+    this.#end(state, status);
+    if (isLast) socket.destroy();
+    else setTimeout(() => this.#send(socket, state), 20);
+  }
+
+  #end(state, outcome) {
+    const { current } = state;
+    if (!current || this.#isStopped) return;
+    state.current = undefined;
+    clearTimeout(current.timer);
+    const ms = performance.now() - current.sentMs;
+    this.payments.push({ ...current, outcome, ms });
+  }
+
+  stop() {
+    this.#isStopped = true;
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  /** Counts by answer; `closed` and `none` had none. */
+  count() {
+    const counts = {};
+    for (const { outcome } of this.payments) {
+      counts[outcome] = (counts[outcome] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /**
+   * Lists the payments of kept connections that a server has begun, and whose
+   * connections the gateway then closed without an answer.
+   */
+  listLost(runs) {
+    const begun = new Set(runs.map(({ attempt }) => attempt));
+    return this.payments.filter((p) =>
+      p.isKept && p.outcome === "closed" && begun.has(p.id)
+    );
+  }
+
+  /**
+   * Counts the payments that were unanswered at the route's time, and those of
+   * them that had no answer half a second later.
+   */
+  countOverdue() {
+    const isUnanswered = (p, ms) =>
+      p.ms >= ms && (p.outcome === "none" || p.ms > ms);
+    const unanswered = this.payments.filter((p) =>
+      isUnanswered(p, PAYMENT_TIMEOUT_MS)
+    );
+    const later = unanswered.filter((p) =>
+      isUnanswered(p, PAYMENT_TIMEOUT_MS + 500)
+    );
+    return { unanswered: unanswered.length, later: later.length };
+  }
+}
+
 /**
  * Runs a case and exits: `play` returns whether the rule was broken. Everything
  * that it has started has to be stopped by its own `finally`.
